--- /dev/null
+++ b/core/messenger/client.go
@@ -0,0 +1,114 @@
+package messenger
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxReplyBytes bounds a reply read from another process.
+const maxReplyBytes = 64 << 20
+
+// ErrNotSent marks an error of a request that never reached the other side: no
+// connection was established. Test with errors.Is. Any other transport error
+// means that the request may have arrived.
+var ErrNotSent = errors.New("no connection was established")
+
+// onceBody is a request body that can't be rewound: http.Transport re-sends a
+// request on its own only if it can produce the body again.
+type onceBody struct{ io.Reader }
+
+// Close does nothing.
+func (onceBody) Close() error { return nil }
+
+// NewTransport returns a transport for calls between processes: HTTP/1.1 with
+// keep-alive, no proxy, at most perHost idle connections per address, and
+// dialTimeout for a new connection.
+func NewTransport(perHost int, dialTimeout time.Duration) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: perHost,
+		IdleConnTimeout:     90 * time.Second,
+		DisableCompression:  true,
+	}
+}
+
+// Client sends JSON requests to one kind of peer and never sends a request
+// twice on its own. The zero value uses http.DefaultTransport.
+type Client struct {
+	Transport http.RoundTripper
+}
+
+// Call sends in as JSON (no body if nil) with the given method, decodes the
+// reply into out (unless nil) whatever its status, and returns the status. An
+// error for which errors.Is(err, ErrNotSent) holds proves that nothing was
+// sent.
+func (c Client) Call(ctx context.Context, method, url string, in, out any) (int, error) {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return 0, errors.Mark(errors.Wrap(err, "encoding the request"), ErrNotSent)
+		}
+	}
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, url, nil)
+	if err != nil {
+		return 0, errors.Mark(errors.Wrap(err, "building the request"), ErrNotSent)
+	}
+	if in != nil {
+		req.Body = onceBody{bytes.NewReader(body)}
+		req.ContentLength = int64(len(body))
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.transport().RoundTrip(req)
+	if err != nil {
+		if !connected {
+			err = errors.Mark(err, ErrNotSent)
+		}
+		return 0, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return resp.StatusCode, errors.Wrap(err, "reading the reply")
+	}
+	if out == nil || len(data) == 0 {
+		return resp.StatusCode, nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return resp.StatusCode, errors.Wrap(err, "decoding the reply")
+	}
+	return resp.StatusCode, nil
+}
+
+func (c Client) transport() http.RoundTripper {
+	if c.Transport == nil {
+		return http.DefaultTransport
+	}
+	return c.Transport
+}
+
+// StartTask sends one task to the target at address (IP:port) and returns its
+// reply. The task may have started unless the error is ErrNotSent or the reply
+// has an Error with Started false.
+func (c Client) StartTask(ctx context.Context, address string, task TaskRequest) (TaskReply, error) {
+	var reply TaskReply
+	_, err := c.Call(ctx, http.MethodPost, "http://"+address+"/v1/tasks", task, &reply)
+	if err != nil {
+		return TaskReply{}, err
+	}
+	if reply.TaskID != task.TaskID {
+		return TaskReply{}, errors.Newf("target %s answered for task %q instead of %q", address, reply.TaskID, task.TaskID)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/core/messenger/status.go
@@ -0,0 +1,32 @@
+package messenger
+
+// EntryStatus answers GET /operator/v1/status on an entry.
+type EntryStatus struct {
+	Self          Member         `json:"self"`
+	FailureDomain string         `json:"failureDomain"`
+	Ready         bool           `json:"ready"`
+	Stopping      bool           `json:"stopping"`
+	ConfigVersion int64          `json:"configVersion"`
+	ChangeID      string         `json:"changeId"`
+	Members       []MemberState  `json:"members"`
+	Jobs          int            `json:"jobs"`
+	Brokered      []ServiceState `json:"brokered"`
+}
+
+// ServiceState is what a broker knows of one service in its failure domain.
+type ServiceState struct {
+	Service string        `json:"service"`
+	Share   int           `json:"share"`
+	InUse   int           `json:"inUse"`
+	Waiting int           `json:"waiting"`
+	Targets []TargetState `json:"targets"`
+}
+
+// TargetState is what a broker knows of one target. State is "ready",
+// "leaving", "ejected" or "trial".
+type TargetState struct {
+	Address string `json:"address"`
+	State   string `json:"state"`
+	Slots   int    `json:"slots"`
+	InUse   int    `json:"inUse"`
+}
--- /dev/null
+++ b/entry/broker/settings.go
@@ -0,0 +1,50 @@
+package broker
+
+// Settings are the choices of policy. The zero value of a field means its
+// default, set by [Settings.WithDefaults].
+type Settings struct {
+	// Routing is "broker" (one owner of all slots), or one of the baselines
+	// "random", "leastInFlight" and "twoChoices", where every entry picks
+	// targets from its own view.
+	Routing string `json:"routing,omitempty"`
+	// Order is the order of jobs of one priority: "fewestLeft" or "fifo".
+	Order string `json:"order,omitempty"`
+	// UrgentReservePercent of the slots are kept free of bulk work.
+	UrgentReservePercent int `json:"urgentReservePercent,omitempty"`
+	// BulkAgeMs is the wait after which bulk work takes one of every BulkShare
+	// grants.
+	BulkAgeMs int64 `json:"bulkAgeMs,omitempty"`
+	BulkShare int   `json:"bulkShare,omitempty"`
+	// LeaseMs is the time in which a granted task must be started.
+	LeaseMs int64 `json:"leaseMs,omitempty"`
+	// MaxWaitingTasks bounds the queue of one service.
+	MaxWaitingTasks int `json:"maxWaitingTasks,omitempty"`
+	// Seed starts the source of randomness.
+	Seed uint64 `json:"seed,omitempty"`
+}
+
+// WithDefaults returns s with defaults in place of zero values.
+func (s Settings) WithDefaults() Settings {
+	if s.Routing == "" {
+		s.Routing = "broker"
+	}
+	if s.Order == "" {
+		s.Order = "fewestLeft"
+	}
+	if s.UrgentReservePercent == 0 {
+		s.UrgentReservePercent = 10
+	}
+	if s.BulkAgeMs == 0 {
+		s.BulkAgeMs = 2000
+	}
+	if s.BulkShare == 0 {
+		s.BulkShare = 10
+	}
+	if s.LeaseMs == 0 {
+		s.LeaseMs = 2000
+	}
+	if s.MaxWaitingTasks == 0 {
+		s.MaxWaitingTasks = 200_000
+	}
+	return s
+}
--- /dev/null
+++ b/load/main.go
@@ -0,0 +1,4 @@
+// Command load is not implemented yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/operator/main.go
@@ -0,0 +1,4 @@
+// Command operator is not implemented yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/proof/doc.go
@@ -0,0 +1,2 @@
+// Package proof holds scenarios and history checks over real processes.
+package proof
--- /dev/null
+++ b/target/main.go
@@ -0,0 +1,4 @@
+// Command target is not implemented yet.
+package main
+
+func main() {}
