--- /dev/null
+++ b/entry/dispatcher/submit.go
@@ -0,0 +1,175 @@
+package dispatcher
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/godwitrelay/godwitrelay/core/messenger"
+	"github.com/godwitrelay/godwitrelay/core/planner"
+	"github.com/godwitrelay/godwitrelay/entry/registrar"
+)
+
+// maxIDs bounds the ids of one request.
+const maxIDs = 1000
+
+func (s *State) issueIDs(now time.Time, msg IssueIDs) {
+	n := min(max(msg.Count, 1), maxIDs)
+	s.reply(msg.Waiter, messenger.IDsReply{
+		IDs:         s.jobs.Issuer.Issue(now, n),
+		ExpiresInMs: s.cfg.IDKeep.Milliseconds(),
+	})
+}
+
+func (s *State) submit(now time.Time, msg Submit) {
+	sub := msg.Submission
+	if sub.MoreIDs > 0 && msg.Waiter != 0 {
+		s.moreIDs[msg.Waiter] = min(sub.MoreIDs, maxIDs)
+	}
+	if sub.ID == "" {
+		s.submitWithoutID(now, msg)
+		return
+	}
+	if !s.jobs.Issuer.Owns(msg.ID) {
+		s.forward(msg.Waiter, msg.Forwarded, Forward{
+			Method: http.MethodPost, Address: msg.ID.Address, JobID: sub.ID, Submission: sub,
+			Timeout: s.deadlineOf(sub),
+		})
+		return
+	}
+	if j := s.jobs.Find(sub.ID); j != nil {
+		s.join(now, j, msg)
+		return
+	}
+	if !s.jobs.Issuer.Use(now, msg.ID.Sequence) {
+		s.answer(now, msg.Waiter, messenger.Refusal(sub.ID, messenger.NewError(messenger.IDExpired, "")))
+		return
+	}
+	s.open(now, msg)
+}
+
+// submitWithoutID gives the submission an id. A non-idempotent request must
+// bring one: without it, a repeat after a lost reply would run the work again.
+func (s *State) submitWithoutID(now time.Time, msg Submit) {
+	sub := msg.Submission
+	rt, ok := s.requestType(sub.Service, sub.RequestType)
+	if ok && !idempotent(sub, rt) {
+		e := messenger.NewError(messenger.BadRequest, "id: a non-idempotent request needs an id from POST /v1/ids")
+		s.refuse(now, msg.Waiter, "", e)
+		return
+	}
+	msg.Submission.ID = s.jobs.Issuer.Issue(now, 1)[0]
+	id, err := s.cfg.Signer.Parse(msg.Submission.ID)
+	if err != nil || !s.jobs.Issuer.Use(now, id.Sequence) {
+		s.refuse(now, msg.Waiter, "", messenger.NewError(messenger.Internal, "issuing an id failed").NotRun())
+		return
+	}
+	s.open(now, msg)
+}
+
+// join attaches a repeated submission to the job that its id names.
+func (s *State) join(now time.Time, j *registrar.Job, msg Submit) {
+	switch {
+	case j.Digest != msg.Digest:
+		s.answer(now, msg.Waiter, messenger.Refusal(j.ID, messenger.NewError(messenger.IDConflict, "")))
+	case j.Finished():
+		s.answer(now, msg.Waiter, *j.Answer)
+	case msg.Submission.Wait:
+		j.Waiters = append(j.Waiters, uint64(msg.Waiter))
+	default:
+		s.answer(now, msg.Waiter, messenger.Answer{ID: j.ID, Outcome: messenger.InProgress})
+	}
+}
+
+// open takes up a job under an id that was just marked as used. A refusal is
+// kept as the job's final answer, so that a copy of the submission which is
+// still on its way can't run later.
+func (s *State) open(now time.Time, msg Submit) {
+	sub := msg.Submission
+	rt, _ := s.requestType(sub.Service, sub.RequestType)
+	j := &registrar.Job{
+		ID: sub.ID, Digest: msg.Digest, Team: sub.Team, Service: sub.Service, RequestType: sub.RequestType,
+		Priority: effectivePriority(sub, rt), Idempotent: idempotent(sub, rt),
+		Received: now, Deadline: now.Add(s.deadlineOf(sub)),
+		MaxRun:   time.Duration(rt.MaxRunMs) * time.Millisecond,
+		Payloads: sub.Tasks, Tasks: make([]registrar.Task, len(sub.Tasks)), Left: len(sub.Tasks),
+	}
+	e := s.check(sub, msg.Bytes)
+	s.jobs.Add(j)
+	if e != nil {
+		j.Waiters = append(j.Waiters, uint64(msg.Waiter))
+		s.finish(now, j, messenger.Refusal(j.ID, e))
+		return
+	}
+	j.Hints = messenger.Submission{DeclaredRunMs: sub.DeclaredRunMs, DeclaredMemoryMB: sub.DeclaredMemoryMB}
+	j.Results = make([]json.RawMessage, len(sub.Tasks))
+	if sub.Wait {
+		j.Waiters = append(j.Waiters, uint64(msg.Waiter))
+	} else if msg.Waiter != 0 {
+		s.untilAdmitted[j.ID] = msg.Waiter
+	}
+	s.ask(j)
+}
+
+// check returns the refusal of a submission that breaks the configuration or a
+// limit, or nil.
+func (s *State) check(sub messenger.Submission, bytes int64) *messenger.Error {
+	present := s.follower.Present()
+	rt, known := s.requestType(sub.Service, sub.RequestType)
+	_, team := present.Configuration.Teams[sub.Team]
+	switch {
+	case s.stop.refusing:
+		return messenger.NewError(messenger.Draining, "").After(s.spread(200))
+	case present.Version == 0 || !s.settled:
+		return messenger.NewError(messenger.NotReady, "").After(s.spread(1000))
+	case !team:
+		return messenger.NewError(messenger.UnknownTeam, fmt.Sprintf("team %q is not in the configuration", sub.Team))
+	case !known:
+		return messenger.NewError(messenger.UnknownService, fmt.Sprintf("service %q with request type %q is not in the configuration", sub.Service, sub.RequestType))
+	case len(sub.Tasks) == 0:
+		return messenger.NewError(messenger.BadRequest, "tasks: must have at least one element")
+	case len(sub.Tasks) > s.cfg.MaxTasks:
+		return messenger.NewError(messenger.TooLarge, fmt.Sprintf("tasks: %d elements, at most %d allowed", len(sub.Tasks), s.cfg.MaxTasks))
+	case sub.DeadlineMs < 0 || sub.DeadlineMs > s.cfg.MaxDeadline.Milliseconds():
+		return messenger.NewError(messenger.BadRequest, fmt.Sprintf("deadlineMs: %d, allowed: 0 to %d", sub.DeadlineMs, s.cfg.MaxDeadline.Milliseconds()))
+	case sub.DeclaredRunMs < 0 || sub.DeclaredMemoryMB < 0:
+		return messenger.NewError(messenger.BadRequest, "declaredRunMs, declaredMemoryMB: must not be negative")
+	case sub.Priority != "" && sub.Priority != messenger.Urgent && sub.Priority != messenger.Bulk:
+		return messenger.NewError(messenger.BadRequest, fmt.Sprintf("priority: %q, allowed: urgent, bulk", sub.Priority))
+	case sub.Priority == messenger.Urgent && rt.Priority == messenger.Bulk:
+		return messenger.NewError(messenger.BadRequest, "priority: the configuration has this request type as bulk")
+	case sub.Idempotent != nil && *sub.Idempotent && !rt.Idempotent:
+		return messenger.NewError(messenger.BadRequest, "idempotent: the configuration has this request type as non-idempotent")
+	case s.jobs.Bytes+bytes > s.cfg.MaxHeldBytes:
+		return messenger.NewError(messenger.Overloaded, "the entry holds too many bytes").After(s.spread(500))
+	}
+	return nil
+}
+
+func (s *State) requestType(service, name string) (planner.RequestType, bool) {
+	rt, ok := s.follower.Present().Configuration.Services[service].RequestTypes[name]
+	return rt, ok
+}
+
+func idempotent(sub messenger.Submission, rt planner.RequestType) bool {
+	return rt.Idempotent && (sub.Idempotent == nil || *sub.Idempotent)
+}
+
+func effectivePriority(sub messenger.Submission, rt planner.RequestType) messenger.Priority {
+	if sub.Priority == messenger.Bulk {
+		return messenger.Bulk
+	}
+	return rt.Priority
+}
+
+func (s *State) deadlineOf(sub messenger.Submission) time.Duration {
+	if sub.DeadlineMs <= 0 {
+		return s.cfg.DefaultDeadline
+	}
+	return min(time.Duration(sub.DeadlineMs)*time.Millisecond, s.cfg.MaxDeadline)
+}
+
+// spread returns a time between base and twice base, in milliseconds, so that
+// refused callers do not come back together.
+func (s *State) spread(base int64) int64 { return base + s.rand.Int64N(base+1) }
