--- a/core/messenger/platform.go
+++ b/core/messenger/platform.go
@@ -74,3 +74,10 @@
 	Target  string `json:"target"`
 	SlotMs  int64  `json:"slotMs"`
 }
+
+// UsageTotals answers GET /v1/usage: the number of distinct reports, and the
+// slot milliseconds per service with each report counted once.
+type UsageTotals struct {
+	Reports int              `json:"reports"`
+	SlotMs  map[string]int64 `json:"slotMs"`
+}
