--- a/entry/dispatcher/answer.go
+++ b/entry/dispatcher/answer.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -76,6 +75,8 @@
 		s.answer(now, msg.Waiter, messenger.Refusal(msg.Text, messenger.NewError(messenger.IDExpired, "")))
 	case j.Finished():
 		s.answer(now, msg.Waiter, *j.Answer)
+	case msg.WaitMs == 0:
+		s.answer(now, msg.Waiter, messenger.Answer{ID: j.ID, Outcome: messenger.InProgress})
 	default:
 		j.Waiters = append(j.Waiters, uint64(msg.Waiter))
 	}
@@ -138,7 +139,7 @@
 		return
 	}
 	text := "the entry that issued the id did not answer in time"
-	if errors.Is(msg.Err, messenger.ErrNotSent) {
+	if msg.Err.NotSent {
 		text = "the entry that issued the id can't be reached"
 	}
 	e := messenger.NewError(messenger.OwnerUnreachable, text).After(s.spread(200))
--- a/entry/dispatcher/link.go
+++ b/entry/dispatcher/link.go
@@ -52,7 +52,9 @@
 	return m
 }
 
-func (s *State) ownRouting() bool { return s.cfg.Broker.Routing != "" && s.cfg.Broker.Routing != "broker" }
+func (s *State) ownRouting() bool {
+	return s.cfg.Broker.Routing != "" && s.cfg.Broker.Routing != "broker"
+}
 
 func (s *State) linkOf(service string) *link {
 	m := s.brokerOf(service)
--- a/entry/dispatcher/message.go
+++ b/entry/dispatcher/message.go
@@ -3,14 +3,31 @@
 import (
 	"time"
 
-	"github.com/godwitrelay/godwitrelay/core/identifier"
+	"github.com/cockroachdb/errors"
+
 	"github.com/godwitrelay/godwitrelay/core/follower"
+	"github.com/godwitrelay/godwitrelay/core/identifier"
 	"github.com/godwitrelay/godwitrelay/core/messenger"
 )
 
 // Msg is an event that [State.Update] takes.
 type Msg interface{ dispatcherMsg() }
 
+// Failure is the error of an effect as data. NotSent proves that nothing
+// reached the other side.
+type Failure struct {
+	NotSent bool   `json:"notSent,omitempty"`
+	Text    string `json:"text"`
+}
+
+// Fail returns err as data, nil for nil.
+func Fail(err error) *Failure {
+	if err == nil {
+		return nil
+	}
+	return &Failure{NotSent: errors.Is(err, messenger.ErrNotSent), Text: err.Error()}
+}
+
 // Waiter names one request that waits for a reply. 0 means that nobody waits.
 type Waiter uint64
 
@@ -39,7 +56,8 @@
 	Text      string
 	ID        identifier.ID
 	Forwarded bool
-	// WaitMs is passed on when the request is forwarded, in milliseconds.
+	// WaitMs is how long the caller waits for a job in progress, in
+	// milliseconds.
 	WaitMs int64
 }
 
@@ -63,7 +81,7 @@
 	Waiter Waiter
 	JobID  string
 	Answer messenger.Answer
-	Err    error
+	Err    *Failure
 }
 
 // TaskEnded is the result of a [StartTask].
@@ -72,7 +90,7 @@
 	Task  int
 	Grant messenger.Grant
 	Reply messenger.TaskReply
-	Err   error
+	Err   *Failure
 }
 
 // SlotsReceived is a message of another entry to this one as a broker.
@@ -86,7 +104,7 @@
 	To     messenger.Member
 	SentAt time.Time
 	Reply  messenger.SlotsReply
-	Err    error
+	Err    *Failure
 }
 
 // GrantsReceived is a message of a broker to this entry.
@@ -98,14 +116,14 @@
 // GrantsSent is the result of a [SendGrants].
 type GrantsSent struct {
 	To  messenger.Member
-	Err error
+	Err *Failure
 }
 
 // Probed is the result of a [Probe].
 type Probed struct {
 	Target string
 	Status messenger.TargetStatus
-	Err    error
+	Err    *Failure
 }
 
 // Heard is a heartbeat of another entry. A waiter gets the own one in reply.
@@ -120,16 +138,16 @@
 // LogRead is the result of a [ReadLog].
 type LogRead struct {
 	Page messenger.LogPage
-	Err  error
+	Err  *Failure
 }
 
 // SnapshotAppended is the result of an [AppendSnapshot].
-type SnapshotAppended struct{ Err error }
+type SnapshotAppended struct{ Err *Failure }
 
 // ConfigurationFetched is the result of a [FetchConfiguration].
 type ConfigurationFetched struct {
 	Accepted follower.Accepted
-	Err      error
+	Err      *Failure
 }
 
 // ConfigurationAsked asks for the configuration in force.
@@ -138,13 +156,13 @@
 // VMsListed is the result of a [ListVMs].
 type VMsListed struct {
 	List messenger.VMList
-	Err  error
+	Err  *Failure
 }
 
 // UsageRead is the result of a [ReadUsage]: slot milliseconds per service.
 type UsageRead struct {
 	SlotMs map[string]int64
-	Err    error
+	Err    *Failure
 }
 
 // StatusAsked asks for the status of this entry.
--- a/entry/dispatcher/state.go
+++ b/entry/dispatcher/state.go
@@ -96,9 +96,9 @@
 		moreIDs:  map[Waiter]int{},
 
 		untilAdmitted: map[string]Waiter{},
-		links:    map[string]*link{},
-		senders:  map[messenger.Member]*sender{},
-		started:  now,
+		links:         map[string]*link{},
+		senders:       map[messenger.Member]*sender{},
+		started:       now,
 	}
 }
 
--- a/entry/dispatcher/task.go
+++ b/entry/dispatcher/task.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"errors"
 	"fmt"
 	"strconv"
 	"time"
@@ -152,7 +151,7 @@
 // judge decides what the result of a start means.
 func judge(msg TaskEnded) verdict {
 	switch e := msg.Reply.Error; {
-	case errors.Is(msg.Err, messenger.ErrNotSent):
+	case msg.Err != nil && msg.Err.NotSent:
 		return verdict{outcome: messenger.GrantUnreachable, again: true}
 	case msg.Err != nil:
 		return verdict{outcome: messenger.GrantLost, started: true, kind: messenger.TargetLost,
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,195 @@
+// Command godwit-entry is the program that runs on every entry VM: it accepts
+// jobs from callers, places their tasks on targets, and answers.
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/http"
+	_ "net/http/pprof" // served on profileAddress only
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"github.com/godwitrelay/godwitrelay/core/identifier"
+	"github.com/godwitrelay/godwitrelay/core/loader"
+	"github.com/godwitrelay/godwitrelay/core/messenger"
+	"github.com/godwitrelay/godwitrelay/core/recorder"
+	"github.com/godwitrelay/godwitrelay/entry/dispatcher"
+	"github.com/godwitrelay/godwitrelay/entry/exporter"
+	"github.com/godwitrelay/godwitrelay/entry/listener"
+	"github.com/godwitrelay/godwitrelay/entry/runner"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// targetConnections and peerConnections bound idle connections kept per
+	// address; a target allows about 60 connections in all.
+	targetConnections = 16
+	peerConnections   = 64
+	shutdownTimeout   = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+func main() {
+	app := &cli.Command{
+		Name:  "godwit-entry",
+		Usage: "accept jobs, place their tasks on targets, and answer",
+		Description: "Runs until SIGTERM, SIGINT or POST /operator/v1/drain, then finishes what is in progress.\n" +
+			"The settings file is JSON with comments; docs/operators.md describes every field.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "path of the settings `FILE`", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			var cfg settings
+			if err := loader.Load(c.String("settings"), &cfg); err != nil {
+				return err
+			}
+			if c.Bool("check") {
+				return nil
+			}
+			return run(cfg)
+		},
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		logrus.Errorf("entry: %v", err)
+		os.Exit(1)
+	}
+}
+
+func run(cfg settings) error {
+	log := logrus.New()
+	level, err := logrus.ParseLevel(cfg.LogLevel)
+	if err != nil {
+		return errors.Wrap(err, "logLevel")
+	}
+	log.SetLevel(level)
+	history, err := openHistory(cfg)
+	if err != nil {
+		return err
+	}
+	r := newRunner(cfg, log, history)
+	l := &listener.Listener{
+		Runner: r, Signer: identifier.Signer{Key: cfg.key}, Metrics: r.Metrics,
+		MaxBodyBytes: cfg.Limits.BodyBytes, BodyRead: ms(cfg.Limits.BodyReadMs),
+		MaxDeadline: ms(cfg.Limits.MaxDeadlineMs),
+	}
+	servers, err := serve(cfg, l, log)
+	if err != nil {
+		return err
+	}
+	go stopOnSignal(r, log)
+	log.Infof("entry: %s serves callers on %s, peers on %s, operators on %s", cfg.Name, cfg.CallerAddress, cfg.PeerAddress, cfg.OperatorAddress)
+	r.Run()
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			log.Warnf("entry: closing %s: %v", s.Addr, err)
+		}
+	}
+	log.Info("entry: stopped")
+	return nil
+}
+
+// stopOnSignal begins the planned stop at the first signal. Later signals are
+// logged and change nothing: work in progress is not cut off.
+func stopOnSignal(r *runner.Runner, log *logrus.Logger) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	for s := range signals {
+		log.Infof("entry: received %s", s)
+		r.Post(dispatcher.Drain{})
+	}
+}
+
+func openHistory(cfg settings) (*recorder.Recorder, error) {
+	if cfg.HistoryFile == "" {
+		return nil, nil
+	}
+	f, err := os.OpenFile(cfg.HistoryFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, errors.Wrap(err, "historyFile")
+	}
+	return &recorder.Recorder{Process: cfg.Name, Out: f}, nil
+}
+
+func newRunner(cfg settings, log *logrus.Logger, history *recorder.Recorder) *runner.Runner {
+	incarnation := randomUint64()
+	self := messenger.Member{Address: cfg.PeerAddress, Incarnation: incarnation}
+	r := &runner.Runner{
+		State: dispatcher.New(time.Now(), dispatcher.Settings{
+			Self: self, FailureDomain: cfg.FailureDomain, Region: cfg.Region,
+			Signer: identifier.Signer{Key: cfg.key},
+			Seeds:  cfg.Seeds, RemoteSeeds: cfg.RemoteSeeds,
+			DefaultDeadline: ms(cfg.Limits.DefaultDeadlineMs), MaxDeadline: ms(cfg.Limits.MaxDeadlineMs),
+			MaxTasks: int(cfg.Limits.TasksPerJob), MaxHeldBytes: cfg.Limits.HeldBytes,
+			AnswerKeep: ms(cfg.AnswerKeepMs), AnswerBytes: cfg.Limits.AnswerBytes,
+			IDKeep: ms(cfg.IDKeepMs), BalancerNotice: ms(cfg.BalancerNotice), StopLinger: ms(cfg.StopLingerMs),
+			LeaseTTL: ms(cfg.LeaseMs), Broker: cfg.Broker, Gossiper: cfg.Gossiper, Seed: incarnation,
+		}),
+		Targets:         messenger.Client{Transport: messenger.NewTransport(targetConnections, dialTimeout)},
+		Peers:           messenger.Client{Transport: messenger.NewTransport(peerConnections, dialTimeout)},
+		Platform:        messenger.Client{Transport: messenger.NewTransport(2, dialTimeout)},
+		PlatformAddress: cfg.Platform,
+		Metrics:         exporter.New(), History: history, Log: log,
+	}
+	r.Init()
+	return r
+}
+
+func randomUint64() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return binary.BigEndian.Uint64(b[:]) | 1
+}
+
+// serve opens every listener before it serves any, so that an address in use
+// stops the start.
+func serve(cfg settings, l *listener.Listener, log *logrus.Logger) ([]*http.Server, error) {
+	type part struct {
+		field, address string
+		handler        http.Handler
+		connections    int64
+	}
+	parts := []part{
+		{"callerAddress", cfg.CallerAddress, l.Callers(), cfg.Limits.Connections},
+		{"peerListen", cfg.PeerListen, l.Peers(), 0},
+		{"operatorAddress", cfg.OperatorAddress, l.Operators(), 0},
+	}
+	if cfg.ProfileAddress != "" {
+		parts = append(parts, part{"profileAddress", cfg.ProfileAddress, http.DefaultServeMux, 0})
+	}
+	var servers []*http.Server
+	var listeners []net.Listener
+	for _, p := range parts {
+		ln, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", p.address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "%s %s", p.field, p.address)
+		}
+		if p.connections > 0 {
+			ln = listener.Bound(ln, p.connections)
+		}
+		listeners = append(listeners, ln)
+		servers = append(servers, &http.Server{
+			Addr: p.address, Handler: p.handler, IdleTimeout: idleTimeout,
+			MaxHeaderBytes: int(cfg.Limits.HeaderBytes), ReadHeaderTimeout: ms(cfg.Limits.HeaderReadMs),
+		})
+	}
+	for i, s := range servers {
+		go func() {
+			if err := s.Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+				log.Errorf("entry: serving %s: %v", s.Addr, err)
+			}
+		}()
+	}
+	return servers, nil
+}
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -42,7 +42,9 @@
 	PlatformAddress string
 	Metrics         *exporter.Exporter
 	History         *recorder.Recorder
-	Log             *logrus.Logger
+	// Events records what the reducer was told, for a replay; nil for none.
+	Events *dispatcher.EventLog
+	Log    *logrus.Logger
 
 	events  chan dispatcher.Msg
 	waiters sync.Map
@@ -71,7 +73,10 @@
 		case <-ticker.C:
 			msg = dispatcher.Tick{}
 		}
-		for _, cmd := range r.State.Update(time.Now(), msg) {
+		now := time.Now()
+		cmds := r.State.Update(now, msg)
+		r.Events.Write(now, msg, cmds)
+		for _, cmd := range cmds {
 			if _, over := cmd.(dispatcher.Exit); over {
 				return
 			}
@@ -175,19 +180,19 @@
 	case dispatcher.AppendSnapshot:
 		go func() {
 			err := r.platform(http.MethodPost, "/v1/log/"+follower.Stream, cmd.Record, nil)
-			r.Post(dispatcher.SnapshotAppended{Err: err})
+			r.Post(dispatcher.SnapshotAppended{Err: dispatcher.Fail(err)})
 		}()
 	case dispatcher.ListVMs:
 		go func() {
 			var list messenger.VMList
 			err := r.platform(http.MethodGet, "/v1/vms", nil, &list)
-			r.Post(dispatcher.VMsListed{List: list, Err: err})
+			r.Post(dispatcher.VMsListed{List: list, Err: dispatcher.Fail(err)})
 		}()
 	case dispatcher.ReadUsage:
 		go func() {
 			var totals map[string]int64
 			err := r.platform(http.MethodGet, "/v1/usage", nil, &totals)
-			r.Post(dispatcher.UsageRead{SlotMs: totals, Err: err})
+			r.Post(dispatcher.UsageRead{SlotMs: totals, Err: dispatcher.Fail(err)})
 		}()
 	case dispatcher.RenewLease:
 		go func() { _ = r.platform(http.MethodPost, "/v1/leases", cmd.Request, nil) }()
@@ -198,7 +203,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), cmd.Timeout)
 	defer cancel()
 	reply, err := r.Targets.StartTask(ctx, cmd.Grant.Target, cmd.Request)
-	r.Post(dispatcher.TaskEnded{JobID: cmd.JobID, Task: cmd.Task, Grant: cmd.Grant, Reply: reply, Err: err})
+	r.Post(dispatcher.TaskEnded{JobID: cmd.JobID, Task: cmd.Task, Grant: cmd.Grant, Reply: reply, Err: dispatcher.Fail(err)})
 }
 
 func (r *Runner) forward(cmd dispatcher.Forward) {
@@ -216,19 +221,19 @@
 	if err == nil && answer.Outcome == "" {
 		err = errors.New("the owner gave no answer")
 	}
-	r.Post(dispatcher.Forwarded{Waiter: cmd.Waiter, JobID: cmd.JobID, Answer: answer, Err: err})
+	r.Post(dispatcher.Forwarded{Waiter: cmd.Waiter, JobID: cmd.JobID, Answer: answer, Err: dispatcher.Fail(err)})
 }
 
 func (r *Runner) sendSlots(cmd dispatcher.SendSlots) {
 	sent := time.Now()
 	var reply messenger.SlotsReply
 	err := r.peer(http.MethodPost, cmd.To.Address, "/peer/v1/slots", cmd.Request, &reply)
-	r.Post(dispatcher.SlotsAnswered{To: cmd.To, SentAt: sent, Reply: reply, Err: err})
+	r.Post(dispatcher.SlotsAnswered{To: cmd.To, SentAt: sent, Reply: reply, Err: dispatcher.Fail(err)})
 }
 
 func (r *Runner) sendGrants(cmd dispatcher.SendGrants) {
 	err := r.peer(http.MethodPost, cmd.To.Address, "/peer/v1/grants", cmd.Request, nil)
-	r.Post(dispatcher.GrantsSent{To: cmd.To, Err: err})
+	r.Post(dispatcher.GrantsSent{To: cmd.To, Err: dispatcher.Fail(err)})
 }
 
 func (r *Runner) probe(cmd dispatcher.Probe) {
@@ -236,7 +241,7 @@
 	defer cancel()
 	var status messenger.TargetStatus
 	_, err := r.Targets.Call(ctx, http.MethodGet, "http://"+cmd.Target+"/v1/status", nil, &status)
-	r.Post(dispatcher.Probed{Target: cmd.Target, Status: status, Err: err})
+	r.Post(dispatcher.Probed{Target: cmd.Target, Status: status, Err: dispatcher.Fail(err)})
 }
 
 func (r *Runner) beat(cmd dispatcher.Beat) {
@@ -251,14 +256,14 @@
 func (r *Runner) fetchConfiguration(cmd dispatcher.FetchConfiguration) {
 	var accepted follower.Accepted
 	err := r.peer(http.MethodGet, cmd.Address, "/peer/v1/configuration", nil, &accepted)
-	r.Post(dispatcher.ConfigurationFetched{Accepted: accepted, Err: err})
+	r.Post(dispatcher.ConfigurationFetched{Accepted: accepted, Err: dispatcher.Fail(err)})
 }
 
 func (r *Runner) readLog(cmd dispatcher.ReadLog) {
 	var page messenger.LogPage
 	path := "/v1/log/" + follower.Stream + "?from=" + strconv.FormatInt(cmd.From, 10) + "&limit=" + strconv.Itoa(logPageLimit)
 	err := r.platform(http.MethodGet, path, nil, &page)
-	r.Post(dispatcher.LogRead{Page: page, Err: err})
+	r.Post(dispatcher.LogRead{Page: page, Err: dispatcher.Fail(err)})
 }
 
 // peer calls another entry and treats any status of 300 or more as an error.
