Add the broker: queue, grants, admission, health and registration

Cause: the design gives all slots of a service in a failure domain one owner; the package had only its interface.

Change: State.Update admits or refuses whole jobs, queues them in lanes per class, team and memory group, grants tasks to the least loaded target, takes releases and registrations, and frees grants of lost holders. The message Undelivered is new: it asks an entry to register after a Send that may have been lost. A negative UrgentReservePercent means no reserve.

Test: smoke tests of grants, releases and stale messages pass; the invariants are not tested yet.

--- /dev/null
+++ b/entry/broker/broker_test.go
@@ -0,0 +1,117 @@
+package broker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/godwitrelay/godwitrelay/core/messenger"
+	"github.com/godwitrelay/godwitrelay/core/planner"
+)
+
+var (
+	self  = messenger.Member{Address: "127.0.0.1:1", Incarnation: 11}
+	other = messenger.Member{Address: "127.0.0.1:2", Incarnation: 22}
+	epoch = time.Unix(1_000_000, 0)
+)
+
+func testConfiguration() planner.Configuration {
+	return planner.Configuration{
+		BudgetSlots:    100,
+		FailureDomains: []string{"a"},
+		Services: map[string]planner.Service{"orders": {Slots: 100, RequestTypes: map[string]planner.RequestType{
+			"check": {Priority: messenger.Urgent, MaxRunMs: 1000},
+			"batch": {Priority: messenger.Bulk, MaxRunMs: 1000},
+		}}},
+		Teams: map[string]planner.Team{"red": {Slots: 100}, "blue": {Slots: 100}},
+	}
+}
+
+// bench is a broker with the entries self and other registered.
+type bench struct {
+	*State
+	at       time.Time
+	sequence map[messenger.Member]uint64
+}
+
+func newBench(c planner.Configuration, settings Settings, targets, slots int) *bench {
+	b := &bench{State: New(self, settings), at: epoch, sequence: map[messenger.Member]uint64{}}
+	b.do(Configure{Configuration: c, Domain: "a"})
+	b.do(Assign{Services: []string{"orders"}, Members: []messenger.Member{self, other}})
+	b.do(Targets{VMs: testTargets(targets, slots)})
+	b.from(self, messenger.SlotsRequest{Full: true})
+	b.from(other, messenger.SlotsRequest{Full: true})
+	return b
+}
+
+func testTargets(n, slots int) []messenger.VM {
+	vms := make([]messenger.VM, n)
+	for i := range vms {
+		vms[i] = messenger.VM{Role: messenger.TargetVM, Address: fmt.Sprintf("10.0.0.%d:80", i+1), FailureDomain: "a", Service: "orders", Slots: slots, MemoryMB: 1000}
+	}
+	return vms
+}
+
+func (b *bench) do(m Msg) []Cmd { return b.Update(b.at, m) }
+
+func (b *bench) from(m messenger.Member, r messenger.SlotsRequest) []Cmd {
+	b.sequence[m]++
+	r.From, r.Sequence = m, b.sequence[m]
+	return b.do(Slots{r})
+}
+
+func testRequest(id, requestType string, tasks int) messenger.SlotRequest {
+	r := messenger.SlotRequest{JobID: id, Service: "orders", RequestType: requestType, Team: "red", Priority: messenger.Urgent, DeadlineInMs: 10_000, DeclaredRunMs: 100}
+	for i := range tasks {
+		r.Tasks = append(r.Tasks, i)
+	}
+	return r
+}
+
+// sent collects what the commands tell entries.
+func sent(cmds []Cmd) (grants []messenger.Grant, refusals []messenger.SlotRefusal, needFull []messenger.Member) {
+	for _, c := range cmds {
+		if s, ok := c.(Send); ok {
+			grants, refusals = append(grants, s.Grants...), append(refusals, s.Refusals...)
+			if s.NeedFull {
+				needFull = append(needFull, s.To)
+			}
+		}
+	}
+	return grants, refusals, needFull
+}
+
+// TestGrantAndRelease guards against a queue that stands still after a slot was
+// released.
+func TestGrantAndRelease(t *testing.T) {
+	b := newBench(testConfiguration(), Settings{}, 1, 2)
+	grants, refusals, _ := sent(b.from(self, messenger.SlotsRequest{Requests: []messenger.SlotRequest{testRequest("j", "check", 3)}}))
+	if len(grants) != 2 || len(refusals) != 0 {
+		t.Fatalf("got %v, %v, want two grants", grants, refusals)
+	}
+	grants, _, _ = sent(b.from(self, messenger.SlotsRequest{Releases: []messenger.Release{{Grant: grants[0], Outcome: messenger.GrantDone, RunMs: 100}}}))
+	if len(grants) != 1 {
+		t.Fatalf("got %v after a release, want one grant", grants)
+	}
+}
+
+// TestNeedFull guards against messages that count twice or come from a sender
+// whose state is unknown.
+func TestNeedFull(t *testing.T) {
+	b := newBench(testConfiguration(), Settings{}, 1, 2)
+	request := []messenger.SlotRequest{testRequest("j", "check", 1)}
+	stranger := messenger.Member{Address: "127.0.0.1:3", Incarnation: 33}
+	cases := map[string]messenger.SlotsRequest{
+		"repeat":       {From: self, Sequence: 1, Requests: request},
+		"unknown":      {From: stranger, Sequence: 1, Requests: request},
+		"misaddressed": {From: self, To: 99, Sequence: 9, Requests: request},
+	}
+	for name, r := range cases {
+		t.Run(name, func(t *testing.T) {
+			grants, refusals, needFull := sent(b.do(Slots{r}))
+			if len(grants)+len(refusals) != 0 || len(needFull) != 1 || needFull[0] != r.From {
+				t.Fatalf("got %v, %v, %v, want only a request for a registration", grants, refusals, needFull)
+			}
+		})
+	}
+}
--- a/entry/broker/message.go
+++ b/entry/broker/message.go
@@ -43,16 +43,21 @@
 	SlotMs  int64
 }
 
+// Undelivered tells that a [Send] may not have reached the entry To. The entry
+// is asked to register in full, which settles what became of the grants.
+type Undelivered struct{ To messenger.Member }
+
 // Tick lets time pass: leases end, jobs pass their deadlines, probes fall due.
 type Tick struct{}
 
-func (Slots) brokerMsg()     {}
-func (Configure) brokerMsg() {}
-func (Assign) brokerMsg()    {}
-func (Targets) brokerMsg()   {}
-func (Probed) brokerMsg()    {}
-func (Usage) brokerMsg()     {}
-func (Tick) brokerMsg()      {}
+func (Slots) brokerMsg()       {}
+func (Configure) brokerMsg()   {}
+func (Assign) brokerMsg()      {}
+func (Targets) brokerMsg()     {}
+func (Probed) brokerMsg()      {}
+func (Usage) brokerMsg()       {}
+func (Undelivered) brokerMsg() {}
+func (Tick) brokerMsg()        {}
 
 // Cmd is an effect that [State.Update] asks for.
 type Cmd interface{ brokerCmd() }
--- a/entry/broker/settings.go
+++ b/entry/broker/settings.go
@@ -9,7 +9,8 @@
 	Routing string `json:"routing,omitempty"`
 	// Order is the order of jobs of one priority: "fewestLeft" or "fifo".
 	Order string `json:"order,omitempty"`
-	// UrgentReservePercent of the slots are kept free of bulk work.
+	// UrgentReservePercent of the slots are kept free of bulk work; a negative
+	// value means none.
 	UrgentReservePercent int `json:"urgentReservePercent,omitempty"`
 	// BulkAgeMs is the wait after which bulk work takes one of every BulkShare
 	// grants.
--- /dev/null
+++ b/entry/broker/share.go
@@ -0,0 +1,54 @@
+package broker
+
+// team is what is known of a team over all services that this entry brokers.
+type team struct {
+	name  string
+	known bool
+	share int
+	inUse int
+	// waitingMs is the estimated run time of the waiting tasks.
+	waitingMs [classes]int64
+}
+
+// room reports whether the team may take another slot.
+func (t *team) room() bool { return t.inUse < t.share }
+
+func (s *State) team(name string) *team {
+	t := s.teams[name]
+	if t == nil {
+		t = &team{name: name}
+		s.teams[name] = t
+		s.configureTeam(t)
+	}
+	return t
+}
+
+func (s *State) configure(m Configure) {
+	s.configuration, s.domain, s.configured = m.Configuration, m.Domain, true
+	for _, t := range s.teams {
+		s.configureTeam(t)
+	}
+	for name := range m.Configuration.Teams {
+		s.team(name)
+	}
+	for _, name := range s.names {
+		s.configureService(s.services[name])
+	}
+}
+
+func (s *State) configureTeam(t *team) {
+	quota, ok := s.configuration.Teams[t.name]
+	t.known = ok
+	t.share = s.configuration.Share(quota.Slots, s.domain)
+}
+
+func (s *State) configureService(svc *service) {
+	c := s.configuration.Services[svc.name]
+	svc.share = s.configuration.Share(c.Slots, s.domain)
+	svc.allowance = c.AllowanceSlotSeconds * 1000
+	svc.domains = max(1, len(s.configuration.FailureDomains))
+	for _, k := range svc.kindList {
+		k.maxRunMs = c.RequestTypes[k.name].MaxRunMs
+	}
+	svc.dirty = true
+}
