--- a/entry/dispatcher/link.go
+++ b/entry/dispatcher/link.go
@@ -30,7 +30,6 @@
 	busy     bool
 	needFull bool
 	retryAt  time.Time
-	sequence uint64
 	asked    []string
 	box      messenger.SlotsRequest
 }
@@ -107,10 +106,10 @@
 
 // take empties the link's box into a message.
 func (s *State) take(now time.Time, l *link) messenger.SlotsRequest {
-	l.sequence++
+	s.sequence++
 	req := l.box
 	l.box = messenger.SlotsRequest{}
-	req.From, req.To, req.Sequence = s.cfg.Self, l.to.Incarnation, l.sequence
+	req.From, req.To, req.Sequence = s.cfg.Self, l.to.Incarnation, s.sequence
 	if l.needFull {
 		l.needFull = false
 		s.register(now, l, &req)
--- a/entry/dispatcher/serve.go
+++ b/entry/dispatcher/serve.go
@@ -105,5 +105,6 @@
 		delete(s.senders, msg.To)
 		return
 	}
-	p.box.NeedFull, p.retryAt = true, now.Add(linkRetry)
+	p.retryAt = now.Add(linkRetry)
+	s.updateBroker(now, broker.Undelivered{To: msg.To})
 }
--- a/entry/dispatcher/state.go
+++ b/entry/dispatcher/state.go
@@ -50,13 +50,16 @@
 	members []messenger.Member
 	brokers map[string]messenger.Member
 	links   map[string]*link
-	senders map[messenger.Member]*sender
-	held    map[taskKey]heldTask
-	started time.Time
-	settled bool
-	rand    *rand.Rand
-	timers  timers
-	stop    stopping
+	// sequence numbers the messages to brokers; it grows over all links, so
+	// that a new link to the same broker is not taken for a repeat.
+	sequence uint64
+	senders  map[messenger.Member]*sender
+	held     map[taskKey]heldTask
+	started  time.Time
+	settled  bool
+	rand     *rand.Rand
+	timers   timers
+	stop     stopping
 
 	// appending is set while a snapshot is on its way to the log;
 	// snapshotDelay is this entry's share of the random delay, 0 to 1.
--- a/entry/main.go
+++ b/entry/main.go
@@ -45,11 +45,15 @@
 		Description: "Runs until SIGTERM, SIGINT or POST /operator/v1/drain, then finishes what is in progress.\n" +
 			"The settings file is JSON with comments; docs/operators.md describes every field.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "path of the settings `FILE`", Required: true},
+			&cli.StringFlag{Name: "settings", Usage: "path of the settings `FILE`"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
+		Commands: []*cli.Command{replayCommand()},
 		Action: func(_ context.Context, c *cli.Command) error {
 			var cfg settings
+			if c.String("settings") == "" {
+				return errors.New("--settings is missing; see --help")
+			}
 			if err := loader.Load(c.String("settings"), &cfg); err != nil {
 				return err
 			}
@@ -76,7 +80,10 @@
 	if err != nil {
 		return err
 	}
-	r := newRunner(cfg, log, history)
+	r, err := newRunner(cfg, log, history)
+	if err != nil {
+		return err
+	}
 	l := &listener.Listener{
 		Runner: r, Signer: identifier.Signer{Key: cfg.key}, Metrics: r.Metrics,
 		MaxBodyBytes: cfg.Limits.BodyBytes, BodyRead: ms(cfg.Limits.BodyReadMs),
@@ -122,28 +129,44 @@
 	return &recorder.Recorder{Process: cfg.Name, Out: f}, nil
 }
 
-func newRunner(cfg settings, log *logrus.Logger, history *recorder.Recorder) *runner.Runner {
-	incarnation := randomUint64()
-	self := messenger.Member{Address: cfg.PeerAddress, Incarnation: incarnation}
+func newRunner(cfg settings, log *logrus.Logger, history *recorder.Recorder) (*runner.Runner, error) {
+	start, choices := time.Now(), choicesOf(cfg)
+	var events *dispatcher.EventLog
+	if cfg.EventFile != "" {
+		f, err := os.OpenFile(cfg.EventFile, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, errors.Wrap(err, "eventFile")
+		}
+		if events, err = dispatcher.NewEventLog(f, start, choices); err != nil {
+			return nil, err
+		}
+	}
 	r := &runner.Runner{
-		State: dispatcher.New(time.Now(), dispatcher.Settings{
-			Self: self, FailureDomain: cfg.FailureDomain, Region: cfg.Region,
-			Signer: identifier.Signer{Key: cfg.key},
-			Seeds:  cfg.Seeds, RemoteSeeds: cfg.RemoteSeeds,
-			DefaultDeadline: ms(cfg.Limits.DefaultDeadlineMs), MaxDeadline: ms(cfg.Limits.MaxDeadlineMs),
-			MaxTasks: int(cfg.Limits.TasksPerJob), MaxHeldBytes: cfg.Limits.HeldBytes,
-			AnswerKeep: ms(cfg.AnswerKeepMs), AnswerBytes: cfg.Limits.AnswerBytes,
-			IDKeep: ms(cfg.IDKeepMs), BalancerNotice: ms(cfg.BalancerNotice), StopLinger: ms(cfg.StopLingerMs),
-			LeaseTTL: ms(cfg.LeaseMs), Broker: cfg.Broker, Gossiper: cfg.Gossiper, Seed: incarnation,
-		}),
+		State:           dispatcher.New(start, choices),
 		Targets:         messenger.Client{Transport: messenger.NewTransport(targetConnections, dialTimeout)},
 		Peers:           messenger.Client{Transport: messenger.NewTransport(peerConnections, dialTimeout)},
 		Platform:        messenger.Client{Transport: messenger.NewTransport(2, dialTimeout)},
 		PlatformAddress: cfg.Platform,
-		Metrics:         exporter.New(), History: history, Log: log,
+		Metrics:         exporter.New(), History: history, Events: events, Log: log,
 	}
 	r.Init()
-	return r
+	return r, nil
+}
+
+// choicesOf returns the reducer's settings for a new incarnation.
+func choicesOf(cfg settings) dispatcher.Settings {
+	incarnation := randomUint64()
+	return dispatcher.Settings{
+		Self:          messenger.Member{Address: cfg.PeerAddress, Incarnation: incarnation},
+		FailureDomain: cfg.FailureDomain, Region: cfg.Region,
+		Signer: identifier.Signer{Key: cfg.key},
+		Seeds:  cfg.Seeds, RemoteSeeds: cfg.RemoteSeeds,
+		DefaultDeadline: ms(cfg.Limits.DefaultDeadlineMs), MaxDeadline: ms(cfg.Limits.MaxDeadlineMs),
+		MaxTasks: int(cfg.Limits.TasksPerJob), MaxHeldBytes: cfg.Limits.HeldBytes,
+		AnswerKeep: ms(cfg.AnswerKeepMs), AnswerBytes: cfg.Limits.AnswerBytes,
+		IDKeep: ms(cfg.IDKeepMs), BalancerNotice: ms(cfg.BalancerNotice), StopLinger: ms(cfg.StopLingerMs),
+		LeaseTTL: ms(cfg.LeaseMs), Broker: cfg.Broker, Gossiper: cfg.Gossiper, Seed: incarnation,
+	}
 }
 
 func randomUint64() uint64 {
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -190,9 +190,9 @@
 		}()
 	case dispatcher.ReadUsage:
 		go func() {
-			var totals map[string]int64
+			var totals messenger.UsageTotals
 			err := r.platform(http.MethodGet, "/v1/usage", nil, &totals)
-			r.Post(dispatcher.UsageRead{SlotMs: totals, Err: dispatcher.Fail(err)})
+			r.Post(dispatcher.UsageRead{SlotMs: totals.SlotMs, Err: dispatcher.Fail(err)})
 		}()
 	case dispatcher.RenewLease:
 		go func() { _ = r.platform(http.MethodPost, "/v1/leases", cmd.Request, nil) }()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -31,6 +31,7 @@
 	StopLingerMs    int64             `json:"stopLingerMs"`
 	LeaseMs         int64             `json:"leaseMs"`
 	HistoryFile     string            `json:"historyFile"`
+	EventFile       string            `json:"eventFile"`
 	LogLevel        string            `json:"logLevel"`
 	ProfileAddress  string            `json:"profileAddress"`
 
