--- /dev/null
+++ b/load/caller/fake_test.go
@@ -0,0 +1,152 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/godwitrelay/godwitrelay/core/messenger"
+	"github.com/godwitrelay/godwitrelay/load/generator"
+)
+
+// network carries requests to handlers by address without sockets, so that a
+// test can run in virtual time. Unknown addresses refuse the connection.
+type network map[string]http.Handler
+
+func (n network) RoundTrip(r *http.Request) (*http.Response, error) {
+	h, ok := n[r.URL.Host]
+	if !ok {
+		return nil, errors.New("connection refused")
+	}
+	if trace := httptrace.ContextClientTrace(r.Context()); trace != nil {
+		trace.GotConn(httptrace.GotConnInfo{})
+	}
+	if r.Body == nil {
+		r.Body = http.NoBody
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	return w.Result(), nil
+}
+
+// fakeEntry answers jobs after their longest task's run time. Requests that
+// arrive between stallFrom and stallTo are held until stallTo. change edits
+// each answer.
+type fakeEntry struct {
+	name               string
+	stallFrom, stallTo time.Time
+	change             func(*messenger.Answer)
+
+	mu     sync.Mutex
+	issued int
+	calls  map[string]int
+	seen   []messenger.Submission
+}
+
+func (e *fakeEntry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.note(r.Method + " " + r.URL.Path)
+	now := time.Now()
+	if !now.Before(e.stallFrom) && now.Before(e.stallTo) {
+		<-time.After(e.stallTo.Sub(now))
+	}
+	if r.URL.Path == "/v1/ids" {
+		var in messenger.IDsRequest
+		_ = messenger.Decode(r.Body, 1<<20, &in)
+		messenger.Reply(w, http.StatusOK, messenger.IDsReply{IDs: e.ids(in.Count)})
+		return
+	}
+	var sub messenger.Submission
+	if err := messenger.Decode(r.Body, 1<<20, &sub); err != nil {
+		messenger.Reply(w, err.Status(), messenger.Refusal("", err))
+		return
+	}
+	e.mu.Lock()
+	e.seen = append(e.seen, sub)
+	e.mu.Unlock()
+	longest := int64(0)
+	a := messenger.Answer{ID: sub.ID, Outcome: messenger.Complete, NextIDs: e.ids(sub.MoreIDs)}
+	for i, raw := range sub.Tasks {
+		var p generator.Payload
+		_ = json.Unmarshal(raw, &p)
+		longest = max(longest, p.RunMs)
+		out, _ := json.Marshal(result{p.Value, taskID(sub.ID, i)})
+		a.Results = append(a.Results, out)
+	}
+	<-time.After(time.Duration(longest) * time.Millisecond)
+	if e.change != nil {
+		e.change(&a)
+	}
+	messenger.Reply(w, a.Status(), a)
+}
+
+func (e *fakeEntry) note(call string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.calls == nil {
+		e.calls = map[string]int{}
+	}
+	e.calls[call]++
+}
+
+func (e *fakeEntry) ids(n int) (list []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for range n {
+		e.issued++
+		list = append(list, fmt.Sprintf("%s-%d", e.name, e.issued))
+	}
+	return list
+}
+
+// fakeTarget runs tasks and refuses those beyond its slots.
+type fakeTarget struct {
+	slots  int
+	broken bool
+
+	mu      sync.Mutex
+	running int
+	refused int
+	started int
+}
+
+func (t *fakeTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var task messenger.TaskRequest
+	_ = messenger.Decode(r.Body, 1<<20, &task)
+	if !t.begin() {
+		messenger.Reply(w, http.StatusServiceUnavailable, messenger.TaskReply{TaskID: task.TaskID, Error: &messenger.TaskError{Kind: messenger.Busy}})
+		return
+	}
+	var p generator.Payload
+	_ = json.Unmarshal(task.Payload, &p)
+	<-time.After(time.Duration(p.RunMs) * time.Millisecond)
+	out, _ := json.Marshal(result{p.Value, task.TaskID})
+	reply := messenger.TaskReply{TaskID: task.TaskID, Result: out, RunMs: p.RunMs}
+	if t.broken {
+		reply = messenger.TaskReply{TaskID: task.TaskID, Error: &messenger.TaskError{Kind: messenger.TaskFault, Started: true}}
+	}
+	t.mu.Lock()
+	t.running--
+	t.mu.Unlock()
+	messenger.Reply(w, http.StatusOK, reply)
+}
+
+func (t *fakeTarget) begin() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.running == t.slots {
+		t.refused++
+		return false
+	}
+	t.running++
+	t.started++
+	return true
+}
--- /dev/null
+++ b/load/driver/settings.go
@@ -0,0 +1,110 @@
+// Package driver carries out runs: it connects the generator, the callers, the
+// meter and the message counters, once for each mode and round.
+package driver
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"github.com/godwitrelay/godwitrelay/core/loader"
+	"github.com/godwitrelay/godwitrelay/load/generator"
+)
+
+// The modes of a run.
+const (
+	// Entries sends jobs through entries.
+	Entries = "entries"
+	// Direct sends tasks straight to targets, as the reference.
+	Direct = "direct"
+)
+
+// Settings are the settings of a run. Addresses are IP:port, or IP:port+n for
+// n consecutive ports. Metrics are the operator addresses of entries and
+// TargetControls the addresses of target processes with GET /control; both are
+// read before and after a run. Label names the version under test.
+type Settings struct {
+	generator.Settings
+	Entries         []string `json:"entries,omitempty"`
+	Targets         []string `json:"targets,omitempty"`
+	SlotsPerTarget  int64    `json:"slotsPerTarget,omitempty"`
+	Modes           []string `json:"modes,omitempty"`
+	Rounds          int64    `json:"rounds,omitempty"`
+	Sessions        int64    `json:"sessions,omitempty"`
+	IDBatch         int64    `json:"idBatch,omitempty"`
+	WarmupMs        int64    `json:"warmupMs,omitempty"`
+	MaxInFlight     int64    `json:"maxInFlight,omitempty"`
+	HistoryFile     string   `json:"historyFile,omitempty"`
+	HistoryPayloads *bool    `json:"historyPayloads,omitempty"`
+	Metrics         []string `json:"metrics,omitempty"`
+	TargetControls  []string `json:"targetControls,omitempty"`
+	Label           string   `json:"label,omitempty"`
+}
+
+// Check records every fault in f, fills in defaults and expands address
+// ranges.
+func (s *Settings) Check(f *loader.Faults) {
+	s.Entries = Expand(f, "entries", s.Entries)
+	s.Targets = Expand(f, "targets", s.Targets)
+	s.Metrics = Expand(f, "metrics", s.Metrics)
+	s.TargetControls = Expand(f, "targetControls", s.TargetControls)
+	f.Range("slotsPerTarget", &s.SlotsPerTarget, 8, 1, 10_000)
+	if s.Slots == 0 && len(s.Targets) > 0 {
+		s.Slots = int64(len(s.Targets)) * s.SlotsPerTarget
+	}
+	s.Settings.Check(f)
+	f.Range("rounds", &s.Rounds, 1, 1, 1000)
+	f.Range("sessions", &s.Sessions, max(1, 8*int64(len(s.Entries))), 1, 100_000)
+	f.Range("idBatch", &s.IDBatch, 16, 1, 1000)
+	f.Range("maxInFlight", &s.MaxInFlight, 20_000, 1, 1_000_000)
+	if s.WarmupMs < 0 || s.WarmupMs >= s.DurationMs {
+		f.Add("warmupMs", s.WarmupMs, "0 to less than durationMs")
+	}
+	s.checkModes(f)
+}
+
+func (s *Settings) checkModes(f *loader.Faults) {
+	if len(s.Modes) == 0 {
+		s.Modes = []string{Entries}
+	}
+	for i := range s.Modes {
+		f.OneOf(fmt.Sprintf("modes[%d]", i), &s.Modes[i], Entries, Direct)
+		if s.Modes[i] == Entries && len(s.Entries) == 0 {
+			f.Add("entries", 0, "at least one address for mode entries")
+		}
+		if s.Modes[i] == Direct && len(s.Targets) == 0 {
+			f.Add("targets", 0, "at least one address for mode direct")
+		}
+	}
+}
+
+// maxPorts bounds the ports of one address range.
+const maxPorts = 20_000
+
+// Expand checks addresses and returns them with ranges (IP:port+n) written
+// out.
+func Expand(f *loader.Faults, field string, list []string) []string {
+	var all []string
+	for i, text := range list {
+		place := fmt.Sprintf("%s[%d]", field, i)
+		first, count, isRange := strings.Cut(text, "+")
+		n := 1
+		if isRange {
+			var err error
+			if n, err = strconv.Atoi(count); err != nil || n < 1 || n > maxPorts {
+				f.Add(place, text, fmt.Sprintf("IP:port+n with n from 1 to %d", maxPorts))
+				continue
+			}
+		}
+		start, err := netip.ParseAddrPort(first)
+		if err != nil || int(start.Port())+n-1 > 65535 {
+			f.Address(place, text)
+			continue
+		}
+		for k := range n {
+			all = append(all, netip.AddrPortFrom(start.Addr(), start.Port()+uint16(k)).String())
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/load/scraper/scraper.go
@@ -0,0 +1,223 @@
+// Package scraper reads the counters of entries and targets before and after a
+// run and reports the messages that finished tasks cost.
+package scraper
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+	"github.com/sirupsen/logrus"
+
+	"github.com/godwitrelay/godwitrelay/core/messenger"
+)
+
+var log = logrus.WithField("prefix", "scraper")
+
+// Names of the counters that entries expose, with their labels.
+const (
+	messagesTotal = "godwitrelay_messages_total"
+	messagesLabel = "kind"
+	wastedTotal   = "godwitrelay_wasted_messages_total"
+	wastedLabel   = "reason"
+)
+
+// maxBytes bounds a reply to a scrape.
+const maxBytes = 16 << 20
+
+// timeout bounds one scrape.
+const timeout = 5 * time.Second
+
+// Scraper reads the counters of a set of processes. Create it with [New].
+type Scraper struct {
+	client   messenger.Client
+	entries  []string
+	controls []string
+}
+
+// New returns a scraper for entries' operator addresses (GET /metrics) and
+// target processes (GET /control).
+func New(c messenger.Client, entries, controls []string) *Scraper {
+	return &Scraper{c, entries, controls}
+}
+
+// Sample is one reading: for each process its counters by name. Processes that
+// did not answer are absent.
+type Sample struct {
+	messages map[string]map[string]float64
+	wasted   map[string]map[string]float64
+	targets  map[string]map[string]float64
+}
+
+// Read reads all processes.
+func (s *Scraper) Read(ctx context.Context) Sample {
+	out := Sample{map[string]map[string]float64{}, map[string]map[string]float64{}, map[string]map[string]float64{}}
+	for _, address := range s.entries {
+		families, err := Metrics(ctx, s.client, address)
+		if err != nil {
+			log.Warnf("entry %s: %v", address, err)
+			continue
+		}
+		out.messages[address] = byLabel(families[messagesTotal], messagesLabel)
+		out.wasted[address] = byLabel(families[wastedTotal], wastedLabel)
+	}
+	for _, address := range s.controls {
+		counters, err := s.control(ctx, address)
+		if err != nil {
+			log.Warnf("target %s: %v", address, err)
+			continue
+		}
+		out.targets[address] = counters
+	}
+	return out
+}
+
+// Metrics reads GET /metrics of the process at address.
+func Metrics(ctx context.Context, c messenger.Client, address string) (map[string]*dto.MetricFamily, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "building the request")
+	}
+	resp, err := (&http.Client{Transport: c.Transport}).Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "reading the metrics")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("reading the metrics: status %d", resp.StatusCode)
+	}
+	parser := expfmt.NewTextParser(model.LegacyValidation)
+	families, err := parser.TextToMetricFamilies(io.LimitReader(resp.Body, maxBytes))
+	return families, errors.Wrap(err, "parsing the metrics")
+}
+
+// Value returns the sum of a family's samples.
+func Value(f *dto.MetricFamily) float64 {
+	sum := 0.0
+	for _, m := range f.GetMetric() {
+		sum += m.GetCounter().GetValue() + m.GetGauge().GetValue() + m.GetUntyped().GetValue()
+	}
+	return sum
+}
+
+func byLabel(f *dto.MetricFamily, label string) map[string]float64 {
+	out := map[string]float64{}
+	for _, m := range f.GetMetric() {
+		name := ""
+		for _, pair := range m.GetLabel() {
+			if pair.GetName() == label {
+				name = pair.GetValue()
+			}
+		}
+		out[name] += m.GetCounter().GetValue() + m.GetUntyped().GetValue()
+	}
+	return out
+}
+
+// control reads GET /control of a target process and adds up every number in
+// it by field name, so that the process may report per target or in total.
+func (s *Scraper) control(ctx context.Context, address string) (map[string]float64, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var reply json.RawMessage
+	status, err := s.client.Call(ctx, http.MethodGet, "http://"+address+"/control", nil, &reply)
+	if err != nil {
+		return nil, errors.Wrap(err, "reading the counters")
+	}
+	if status != http.StatusOK {
+		return nil, errors.Newf("reading the counters: status %d", status)
+	}
+	var value any
+	if err := json.Unmarshal(reply, &value); err != nil {
+		return nil, errors.Wrap(err, "reading the counters")
+	}
+	out := map[string]float64{}
+	addNumbers(out, "", value)
+	return out, nil
+}
+
+func addNumbers(out map[string]float64, name string, value any) {
+	switch v := value.(type) {
+	case float64:
+		out[name] += v
+	case []any:
+		for _, element := range v {
+			addNumbers(out, name, element)
+		}
+	case map[string]any:
+		for key, element := range v {
+			addNumbers(out, key, element)
+		}
+	}
+}
+
+// Account is what a run cost in messages. Missing lists processes whose
+// counters could not be read both before and after the run; their messages are
+// not contained.
+type Account struct {
+	Messages        map[string]float64 `json:"messages"`
+	Wasted          map[string]float64 `json:"wasted"`
+	Targets         map[string]float64 `json:"targets,omitempty"`
+	AllMessages     float64            `json:"allMessages"`
+	AllWasted       float64            `json:"allWasted"`
+	FinishedTasks   int64              `json:"finishedTasks"`
+	MessagesPerTask float64            `json:"messagesPerTask"`
+	WastedPerTask   float64            `json:"wastedPerTask"`
+	Missing         []string           `json:"missing,omitempty"`
+}
+
+// Compare returns the difference of two samples for a run that finished the
+// given number of tasks.
+func Compare(before, after Sample, tasks int64) *Account {
+	a := &Account{FinishedTasks: tasks}
+	a.Messages = a.difference(before.messages, after.messages)
+	a.Wasted = a.difference(before.wasted, after.wasted)
+	a.Targets = a.difference(before.targets, after.targets)
+	a.AllMessages, a.AllWasted = total(a.Messages), total(a.Wasted)
+	if tasks > 0 {
+		a.MessagesPerTask = a.AllMessages / float64(tasks)
+		a.WastedPerTask = a.AllWasted / float64(tasks)
+	}
+	slices.Sort(a.Missing)
+	a.Missing = slices.Compact(a.Missing)
+	return a
+}
+
+// difference adds up, over the processes that were read both times, how far
+// each counter grew. A process that was read only once is listed as missing.
+func (a *Account) difference(before, after map[string]map[string]float64) map[string]float64 {
+	out := map[string]float64{}
+	for address, old := range before {
+		now, ok := after[address]
+		if !ok {
+			a.Missing = append(a.Missing, address)
+			continue
+		}
+		for name, n := range now {
+			out[name] += n - old[name]
+		}
+	}
+	for address := range after {
+		if _, ok := before[address]; !ok {
+			a.Missing = append(a.Missing, address)
+		}
+	}
+	return out
+}
+
+func total(counters map[string]float64) float64 {
+	sum := 0.0
+	for _, n := range counters {
+		sum += n
+	}
+	return sum
+}
--- /dev/null
+++ b/load/scraper/scraper_test.go
@@ -0,0 +1,33 @@
+package scraper
+
+import (
+	"reflect"
+	"testing"
+)
+
+// Guards against counting the messages of processes that were read only once,
+// and against a difference over the wrong run.
+func TestCompare(t *testing.T) {
+	type counters = map[string]map[string]float64
+	before := Sample{
+		messages: counters{"a": {"start": 10, "slots": 5}, "killed": {"start": 100}},
+		wasted:   counters{"a": {"busy": 1}, "killed": {}},
+		targets:  counters{"t": {"starts": 3}},
+	}
+	after := Sample{
+		messages: counters{"a": {"start": 30, "slots": 5, "probe": 2}, "late": {"start": 7}},
+		wasted:   counters{"a": {"busy": 1, "probe": 2}, "late": {}},
+		targets:  counters{"t": {"starts": 23}},
+	}
+	got := Compare(before, after, 20)
+	want := &Account{
+		Messages: map[string]float64{"start": 20, "slots": 0, "probe": 2},
+		Wasted:   map[string]float64{"busy": 0, "probe": 2},
+		Targets:  map[string]float64{"starts": 20}, FinishedTasks: 20,
+		AllMessages: 22, AllWasted: 2, MessagesPerTask: 1.1, WastedPerTask: 0.1,
+		Missing: []string{"killed", "late"},
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("account %+v instead of %+v", got, want)
+	}
+}
