--- a/core/follower/snapshot.go
+++ b/core/follower/snapshot.go
@@ -127,3 +127,6 @@
 		Configuration: s.accepted.Configuration,
 	}
 }
+
+// Retention returns how long the log keeps records, as its last page said.
+func (s *State) Retention() time.Duration { return s.start.retention }
