--- a/entry/dispatcher/harness_test.go
+++ b/entry/dispatcher/harness_test.go
@@ -18,6 +18,7 @@
 	now    time.Time
 	waiter Waiter
 	cmds   []Cmd
+	record func(now time.Time, msg Msg, cmds []Cmd)
 }
 
 var testStart = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
@@ -48,14 +49,20 @@
 func newEntry(t *testing.T) *entryUnderTest {
 	t.Helper()
 	e := &entryUnderTest{t: t, s: New(testStart, testSettings()), now: testStart}
+	e.begin()
+	return e
+}
+
+// begin gives a new reducer what it needs to be ready.
+func (e *entryUnderTest) begin() {
+	e.t.Helper()
 	accepted := follower.Accepted{Version: 1, ChangeID: "c1", ReadThrough: 0, Configuration: testConfiguration()}
 	e.do(ConfigurationFetched{Accepted: accepted})
 	e.do(VMsListed{List: messenger.VMList{VMs: []messenger.VM{target("127.0.0.1:9001"), target("127.0.0.1:9002")}}})
 	e.pass(2 * time.Second)
 	if !e.s.Ready() {
-		t.Fatal("the entry is not ready")
+		e.t.Fatal("the entry is not ready")
 	}
-	return e
 }
 
 func target(address string) messenger.VM {
@@ -68,6 +75,9 @@
 // do handles one event and returns its commands.
 func (e *entryUnderTest) do(msg Msg) []Cmd {
 	e.cmds = append([]Cmd(nil), e.s.Update(e.now, msg)...)
+	if e.record != nil {
+		e.record(e.now, msg, e.cmds)
+	}
 	return e.cmds
 }
 
@@ -76,14 +86,14 @@
 	var all []Cmd
 	for end := e.now.Add(d); e.now.Before(end); {
 		e.now = e.now.Add(5 * time.Millisecond)
-		all = append(all, e.s.Update(e.now, Tick{})...)
+		all = append(all, e.do(Tick{})...)
 	}
 	return all
 }
 
-func (e *entryUnderTest) ids(n int) []string {
+func (e *entryUnderTest) newID() string {
 	e.waiter++
-	return replyTo[messenger.IDsReply](e.t, e.do(IssueIDs{Waiter: e.waiter, Count: n}), e.waiter).IDs
+	return replyTo[messenger.IDsReply](e.t, e.do(IssueIDs{Waiter: e.waiter, Count: 1}), e.waiter).IDs[0]
 }
 
 func (e *entryUnderTest) submission(id, requestType string, payloads ...string) messenger.Submission {
@@ -149,6 +159,7 @@
 
 func replyTo[V any](t *testing.T, cmds []Cmd, w Waiter) V {
 	t.Helper()
+	var none V
 	for _, r := range only[Reply](cmds) {
 		if r.Waiter != w {
 			continue
@@ -160,7 +171,7 @@
 		return v
 	}
 	t.Fatalf("waiter %d got no reply", w)
-	panic("unreachable")
+	return none
 }
 
 func wantError(t *testing.T, a messenger.Answer, kind messenger.Kind, ran messenger.Ran) {
--- a/entry/dispatcher/identity_test.go
+++ b/entry/dispatcher/identity_test.go
@@ -12,7 +12,7 @@
 func TestResubmission(t *testing.T) {
 	t.Run("while in progress joins the job", func(t *testing.T) {
 		e := newEntry(t)
-		sub := e.submission(e.ids(1)[0], "firm-booking", `1`)
+		sub := e.submission(e.newID(), "firm-booking", `1`)
 		first, cmds := e.submit(sub)
 		st := oneStart(t, cmds)
 		second, cmds := e.submit(sub)
@@ -23,7 +23,7 @@
 	})
 	t.Run("after the end gets the kept answer", func(t *testing.T) {
 		e := newEntry(t)
-		sub := e.submission(e.ids(1)[0], "firm-booking", `1`)
+		sub := e.submission(e.newID(), "firm-booking", `1`)
 		_, cmds := e.submit(sub)
 		e.end(oneStart(t, cmds), done(`"a"`), nil)
 		w, cmds := e.submit(sub)
@@ -32,7 +32,7 @@
 	})
 	t.Run("after the answer was dropped is refused", func(t *testing.T) {
 		e := newEntry(t)
-		sub := e.submission(e.ids(1)[0], "firm-booking", `1`)
+		sub := e.submission(e.newID(), "firm-booking", `1`)
 		_, cmds := e.submit(sub)
 		e.end(oneStart(t, cmds), done(`"a"`), nil)
 		e.pass(32 * time.Second)
@@ -42,7 +42,7 @@
 	})
 	t.Run("with other content is refused", func(t *testing.T) {
 		e := newEntry(t)
-		id := e.ids(1)[0]
+		id := e.newID()
 		e.submit(e.submission(id, "firm-booking", `1`))
 		w, cmds := e.submit(e.submission(id, "firm-booking", `1`, `2`))
 		noStart(t, cmds)
@@ -50,7 +50,7 @@
 	})
 	t.Run("of a refused job stays refused", func(t *testing.T) {
 		e := newEntry(t)
-		sub := e.submission(e.ids(1)[0], "firm-booking", `1`)
+		sub := e.submission(e.newID(), "firm-booking", `1`)
 		sub.Team = "strangers"
 		w, cmds := e.submit(sub)
 		wantError(t, replyTo[messenger.Answer](t, cmds, w), messenger.UnknownTeam, messenger.DidNotRun)
@@ -71,7 +71,7 @@
 func TestIDs(t *testing.T) {
 	t.Run("an id cancelled before its use can't start work", func(t *testing.T) {
 		e := newEntry(t)
-		id := e.ids(1)[0]
+		id := e.newID()
 		parsed, err := e.s.cfg.Signer.Parse(id)
 		if err != nil {
 			t.Fatal(err)
@@ -83,7 +83,7 @@
 	})
 	t.Run("an old unused id can't start work", func(t *testing.T) {
 		e := newEntry(t)
-		id := e.ids(1)[0]
+		id := e.newID()
 		e.pass(63 * time.Second)
 		w, cmds := e.submit(e.submission(id, "firm-booking", `1`))
 		noStart(t, cmds)
--- a/entry/dispatcher/task_test.go
+++ b/entry/dispatcher/task_test.go
@@ -34,7 +34,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			e := newEntry(t)
-			w, cmds := e.submit(e.submission(e.ids(1)[0], "firm-booking", `1`))
+			w, cmds := e.submit(e.submission(e.newID(), "firm-booking", `1`))
 			first := oneStart(t, cmds)
 			cmds = append(e.end(first, c.reply, c.failure), e.pass(time.Second)...)
 			if !c.again {
@@ -52,7 +52,7 @@
 	}
 	t.Run("a payload that the target refuses fails the job, which did not run", func(t *testing.T) {
 		e := newEntry(t)
-		w, cmds := e.submit(e.submission(e.ids(1)[0], "firm-booking", `1`))
+		w, cmds := e.submit(e.submission(e.newID(), "firm-booking", `1`))
 		cmds = e.end(oneStart(t, cmds), refusal(messenger.BadTask, false), nil)
 		wantError(t, replyTo[messenger.Answer](t, cmds, w), messenger.TaskFailed, messenger.DidNotRun)
 	})
@@ -62,7 +62,7 @@
 func TestJobAnswer(t *testing.T) {
 	t.Run("results keep the order of tasks", func(t *testing.T) {
 		e := newEntry(t)
-		w, cmds := e.submit(e.submission(e.ids(1)[0], "stock-check", `1`, `2`, `3`))
+		w, cmds := e.submit(e.submission(e.newID(), "stock-check", `1`, `2`, `3`))
 		starts := only[StartTask](cmds)
 		var last []Cmd
 		for i := len(starts) - 1; i >= 0; i-- {
@@ -72,7 +72,7 @@
 	})
 	t.Run("one failed task fails the job, and later results are dropped", func(t *testing.T) {
 		e := newEntry(t)
-		w, cmds := e.submit(e.submission(e.ids(1)[0], "stock-check", `1`, `2`))
+		w, cmds := e.submit(e.submission(e.newID(), "stock-check", `1`, `2`))
 		starts := only[StartTask](cmds)
 		wantError(t, replyTo[messenger.Answer](t, e.end(starts[0], refusal(messenger.TaskFault, true), nil), w),
 			messenger.TaskFailed, messenger.MayHaveRun)
@@ -82,7 +82,7 @@
 	})
 	t.Run("an ended job frees its slots", func(t *testing.T) {
 		e := newEntry(t)
-		_, cmds := e.submit(e.submission(e.ids(1)[0], "stock-check", `1`, `2`, `3`, `4`, `5`, `6`))
+		_, cmds := e.submit(e.submission(e.newID(), "stock-check", `1`, `2`, `3`, `4`, `5`, `6`))
 		starts := only[StartTask](cmds)
 		if len(starts) != 4 {
 			t.Fatalf("got %d starts on 4 slots", len(starts))
@@ -91,7 +91,7 @@
 		for _, st := range starts[1:] {
 			noStart(t, e.end(st, done(`0`), nil))
 		}
-		_, cmds = e.submit(e.submission(e.ids(1)[0], "stock-check", `1`, `2`, `3`, `4`))
+		_, cmds = e.submit(e.submission(e.newID(), "stock-check", `1`, `2`, `3`, `4`))
 		if n := len(only[StartTask](cmds)); n != 4 {
 			t.Errorf("got %d starts on 4 free slots", n)
 		}
@@ -102,7 +102,7 @@
 func TestDeadlineAndCancel(t *testing.T) {
 	t.Run("deadline passes while a task runs", func(t *testing.T) {
 		e := newEntry(t)
-		sub := e.submission(e.ids(1)[0], "stock-check", `1`)
+		sub := e.submission(e.newID(), "stock-check", `1`)
 		sub.DeadlineMs = 100
 		sub.DeclaredRunMs = 10
 		w, cmds := e.submit(sub)
@@ -112,9 +112,9 @@
 	t.Run("deadline passes before a start", func(t *testing.T) {
 		e := newEntry(t)
 		for range 4 {
-			e.submit(e.submission(e.ids(1)[0], "stock-check", `1`))
+			e.submit(e.submission(e.newID(), "stock-check", `1`))
 		}
-		sub := e.submission(e.ids(1)[0], "stock-check", `1`)
+		sub := e.submission(e.newID(), "stock-check", `1`)
 		sub.DeadlineMs = 9000
 		w, cmds := e.submit(sub)
 		noStart(t, cmds)
@@ -122,7 +122,7 @@
 	})
 	t.Run("cancel while a task runs", func(t *testing.T) {
 		e := newEntry(t)
-		id := e.ids(1)[0]
+		id := e.newID()
 		parsed, _ := e.s.cfg.Signer.Parse(id)
 		w, cmds := e.submit(e.submission(id, "stock-check", `1`))
 		oneStart(t, cmds)
@@ -134,9 +134,9 @@
 func TestLapsedGrant(t *testing.T) {
 	e := newEntry(t)
 	for range 4 {
-		e.submit(e.submission(e.ids(1)[0], "stock-check", `1`))
+		e.submit(e.submission(e.newID(), "stock-check", `1`))
 	}
-	waiting := e.ids(1)[0]
+	waiting := e.newID()
 	_, cmds := e.submit(e.submission(waiting, "stock-check", `1`))
 	noStart(t, cmds)
 	g := messenger.Grant{ID: 1, Service: "orders", JobID: waiting, Target: "127.0.0.1:9001", LeaseMs: 2000}
@@ -148,9 +148,9 @@
 // Guards against a planned stop that cuts off work or ends too early.
 func TestPlannedStop(t *testing.T) {
 	e := newEntry(t)
-	w, cmds := e.submit(e.submission(e.ids(1)[0], "firm-booking", `1`))
+	w, cmds := e.submit(e.submission(e.newID(), "firm-booking", `1`))
 	st := oneStart(t, cmds)
-	late := e.submission(e.ids(1)[0], "firm-booking", `1`)
+	late := e.submission(e.newID(), "firm-booking", `1`)
 	e.do(Drain{})
 	if e.s.Ready() {
 		t.Error("a stopping entry is ready")
