--- a/entry/dispatcher/property_test.go
+++ b/entry/dispatcher/property_test.go
@@ -17,7 +17,6 @@
 // history is what a generated run did and saw.
 type history struct {
 	e       *entryUnderTest
-	log     bytes.Buffer
 	started map[string]int
 	running []StartTask
 	waiters map[Waiter]string
