--- /dev/null
+++ b/target/listener/host_test.go
@@ -0,0 +1,178 @@
+package listener
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/godwitrelay/godwitrelay/core/messenger"
+	"github.com/godwitrelay/godwitrelay/core/recorder"
+	"github.com/godwitrelay/godwitrelay/target/worker"
+)
+
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) count(event recorder.Event) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Count(b.buf.String(), `"event":"`+string(event)+`"`)
+}
+
+type fixture struct {
+	t       *testing.T
+	host    *Host
+	control *httptest.Server
+	history *lockedBuffer
+	client  messenger.Client
+}
+
+// newFixture serves a target with 2 slots and room for maxConnections on a
+// port that the system chooses.
+func newFixture(t *testing.T, maxConnections int) *fixture {
+	t.Helper()
+	free := httptest.NewServer(http.NotFoundHandler())
+	address := free.Listener.Addr().String()
+	free.Close()
+	history := &lockedBuffer{}
+	w := worker.New(worker.Identity{Role: messenger.TargetVM, Address: address, Service: "orders", Slots: 2}, false, 1)
+	h, err := NewHost(w, maxConnections, "p", &recorder.Recorder{Process: "test", Out: history})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go h.Serve()
+	transport := messenger.NewTransport(10, time.Minute)
+	f := &fixture{t: t, host: h, control: httptest.NewServer(Control([]*Host{h})), history: history, client: messenger.Client{Transport: transport}}
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		f.control.Close()
+		_ = h.server.Close()
+	})
+	return f
+}
+
+func (f *fixture) run(payload string) (messenger.TaskReply, error) {
+	return f.client.StartTask(f.t.Context(), f.host.Address(), messenger.TaskRequest{TaskID: "job/1", Service: "orders", Payload: json.RawMessage(payload)})
+}
+
+func (f *fixture) change(c any) Condition {
+	f.t.Helper()
+	var out Condition
+	status, err := messenger.Client{}.Call(f.t.Context(), http.MethodPost, f.control.URL+"/control", c, &out)
+	if err != nil || status != http.StatusOK {
+		f.t.Fatalf("control: status %d, %v", status, err)
+	}
+	return out
+}
+
+func (f *fixture) wantResult(payload, value string) {
+	f.t.Helper()
+	reply, err := f.run(payload)
+	if err != nil || string(reply.Result) != `{"value":`+value+`,"taskId":"job/1"}` {
+		f.t.Fatalf("got %+v, %v", reply, err)
+	}
+}
+
+func TestTask(t *testing.T) {
+	f := newFixture(t, 10)
+	f.wantResult(`{"runMs":1,"value":{"a":[1]}}`, `{"a":[1]}`)
+	f.wantResult(`{"runMs":0}`, `null`)
+	if f.history.count(recorder.TaskStarted) != 2 || f.history.count(recorder.TaskEnded) != 2 {
+		t.Fatal("the history does not hold both tasks")
+	}
+	got := f.change(worker.Change{})
+	if got.Totals.Starts != 2 || got.Targets[0].Connections.Accepted != 1 {
+		t.Fatalf("condition %+v", got)
+	}
+}
+
+// A caller that reads a broken connection as "did not start" would start the
+// task again elsewhere.
+func TestCutConnectionsAfterStart(t *testing.T) {
+	for name, c := range map[string]worker.Change{
+		"after read": {CloseAfterRead: new(int64(1))},
+		"mid reply":  {CloseMidReply: new(int64(1))},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 10)
+			f.change(c)
+			if _, err := f.run(`{"runMs":1}`); err == nil || errors.Is(err, messenger.ErrNotSent) {
+				t.Fatalf("got %v, want a broken connection", err)
+			}
+			if f.history.count(recorder.TaskStarted) != 1 {
+				t.Fatal("the start is not in the history")
+			}
+			f.wantResult(`{"runMs":1}`, `null`)
+		})
+	}
+}
+
+func TestRefusedConnections(t *testing.T) {
+	f := newFixture(t, 10)
+	f.wantResult(`{"runMs":0}`, `null`)
+	f.change(worker.Change{RefuseConnections: new(true)})
+	f.client.Transport.(*http.Transport).CloseIdleConnections()
+	if _, err := f.run(`{"runMs":0}`); !errors.Is(err, messenger.ErrNotSent) {
+		t.Fatalf("got %v, want a refused connection", err)
+	}
+	f.change(worker.Change{RefuseConnections: new(false)})
+	f.wantResult(`{"runMs":0}`, `null`)
+}
+
+func TestConnectionsAboveTheLimitAreClosed(t *testing.T) {
+	f := newFixture(t, 1)
+	f.wantResult(`{"runMs":0}`, `null`)
+	other := messenger.NewTransport(1, time.Minute)
+	defer other.CloseIdleConnections()
+	_, err := messenger.Client{Transport: other}.Call(t.Context(), http.MethodGet, "http://"+f.host.Address()+"/v1/status", nil, nil)
+	if err == nil {
+		t.Fatal("the second connection was served")
+	}
+	f.wantResult(`{"runMs":0}`, `null`)
+	if got := f.change(worker.Change{}).Targets[0].Connections; got.Rejected == 0 || got.Open != 1 {
+		t.Fatalf("connections %+v", got)
+	}
+}
+
+// A planned stop must not cut off a task in progress.
+func TestStopFinishesTasks(t *testing.T) {
+	f := newFixture(t, 10)
+	done := make(chan error, 1)
+	go func() {
+		reply, err := f.run(`{"runMs":100}`)
+		if err == nil && reply.Result == nil {
+			err = errors.Newf("no result: %+v", reply.Error)
+		}
+		done <- err
+	}()
+	for f.change(worker.Change{}).Targets[0].InFlight == 0 {
+	}
+	f.host.Leave(time.Now())
+	if reply, err := f.run(`{"runMs":0}`); err != nil || reply.Error == nil || reply.Error.Kind != messenger.Leaving {
+		t.Fatalf("got %+v, %v; want leaving", reply, err)
+	}
+	if err := f.host.Stop(time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-done; err != nil {
+		t.Fatalf("the task in progress: %v", err)
+	}
+	if f.history.count(recorder.TargetLeaving) != 1 {
+		t.Fatal("leaving is not in the history")
+	}
+}
--- /dev/null
+++ b/target/reporter/batch_test.go
@@ -0,0 +1,48 @@
+package reporter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/godwitrelay/godwitrelay/target/reporter"
+)
+
+func wantNext(t *testing.T, b *reporter.Batch, id string, slotMs int64) {
+	t.Helper()
+	r, ok := b.Next()
+	if !ok || r.ID != id || r.SlotMs != slotMs {
+		t.Fatalf("got %+v, %v; want %s with %d ms", r, ok, id, slotMs)
+	}
+}
+
+// Usage that is lost or sent under two ids would make the spent allowance
+// wrong for good.
+func TestBatch(t *testing.T) {
+	t.Run("parts of a millisecond are kept for the next report", func(t *testing.T) {
+		b := &reporter.Batch{Prefix: "p"}
+		b.Add(1500 * time.Microsecond)
+		b.Close()
+		wantNext(t, b, "p-1", 1)
+		b.Add(1500 * time.Microsecond)
+		b.Close()
+		wantNext(t, b, "p-1", 1)
+		b.Confirm("p-1")
+		wantNext(t, b, "p-2", 2)
+	})
+	t.Run("an outage loses nothing", func(t *testing.T) {
+		b := &reporter.Batch{Prefix: "p"}
+		for range 1000 {
+			b.Add(time.Millisecond)
+			b.Close()
+		}
+		total := int64(0)
+		for r, ok := b.Next(); ok; r, ok = b.Next() {
+			total += r.SlotMs
+			b.Confirm(r.ID)
+			b.Close()
+		}
+		if total != 1000 {
+			t.Fatalf("%d ms reported, want 1000", total)
+		}
+	})
+}
