--- a/core/planner/sound.go
+++ b/core/planner/sound.go
@@ -16,7 +16,7 @@
 // Readers of the configuration log skip records that are not sound. The rule
 // is part of the protocol: readers with different rules would count versions
 // differently, so it must not change between releases. What operators may
-// publish is checked more strictly by [Configuration.Check].
+// publish is checked more strictly by [ParseSheet].
 func (c Configuration) Sound() error {
 	if len(c.FailureDomains) == 0 {
 		return errors.New("the configuration has no failure domain")
