--- a/core/recorder/recorder.go
+++ b/core/recorder/recorder.go
@@ -21,6 +21,9 @@
 	JobSubmitted Event = "jobSubmitted"
 	// JobAnswered: a caller received an answer (JobID, Outcome, Kind, Ran, Results).
 	JobAnswered Event = "jobAnswered"
+	// JobAbandoned: a caller gave up waiting for an answer, or a fault that the
+	// scenario set broke its connection (JobID, Request).
+	JobAbandoned Event = "jobAbandoned"
 	// JobRefused: an entry refused a job or decided its failure (JobID, Kind, Ran).
 	JobRefused Event = "jobRefused"
 	// TaskSent: an entry is about to send a task to Target (JobID, Task).
@@ -47,6 +50,9 @@
 
 // Record is one line of a history. AtUs is the time of the recording process
 // in microseconds since 1970; clocks of different processes are not compared.
+// Request is the caller's name for one piece of work: submissions of the same
+// work, under whatever id, carry the same name. NonIdempotent marks a
+// submission whose work must run at most once.
 type Record struct {
 	AtUs     int64             `json:"atUs"`
 	Process  string            `json:"process"`
@@ -66,6 +72,8 @@
 	Base     string            `json:"base,omitempty"`
 	Version  int64             `json:"version,omitempty"`
 	Count    int               `json:"count,omitempty"`
+
+	NonIdempotent bool `json:"nonIdempotent,omitempty"`
 }
 
 // Recorder appends records to a file. The zero value and a nil Recorder drop
