entry: bound kept answers by their whole size, answer requests to the end of a stop

Cause: finished jobs kept their task states, and the heap of deadlines held answers beyond the byte limit; a request that arrived while the process ended got the kind internal instead of draining. Change: task states go with the final answer, finished jobs leave the heap, and the reducer runs until the listeners are closed. Connections of an entry that is not ready are closed after each answer.

--- a/entry/dispatcher/answer.go
+++ b/entry/dispatcher/answer.go
@@ -34,6 +34,7 @@
 		return
 	}
 	if a.Outcome != messenger.Complete {
+		// The waiting tasks are withdrawn first: finishing drops their states.
 		s.withdraw(j)
 		s.emit(Count{Group: "refusal", Reason: string(a.Error.Kind)})
 		s.emit(Note{recorder.Record{
--- a/entry/dispatcher/tick.go
+++ b/entry/dispatcher/tick.go
@@ -42,7 +42,7 @@
 		s.settled = true
 		s.assign(now)
 	}
-	for _, j := range s.jobs.Overdue(now) {
+	for j := s.jobs.Overdue(now); j != nil; j = s.jobs.Overdue(now) {
 		s.fail(now, j, messenger.NewError(messenger.DeadlineExceeded, ""))
 	}
 	if due(now, &s.timers.gossip, gossipPeriod) {
--- a/entry/listener/listener.go
+++ b/entry/listener/listener.go
@@ -27,6 +27,8 @@
 	maxPeerBytes = 64 << 20
 	// maxWait bounds how long a fetch may wait.
 	maxWait = 10 * time.Minute
+	// writeTimeout bounds the time in which a caller must take its answer.
+	writeTimeout = 30 * time.Second
 	// fetchSlack is added to a fetch's wait: the time for the reducer, or for
 	// the owner of the id, to answer.
 	fetchSlack = time.Second
@@ -63,7 +65,16 @@
 	mux.HandleFunc("DELETE /v1/jobs/{id}", func(w http.ResponseWriter, r *http.Request) { l.cancel(w, r, false) })
 	mux.HandleFunc("GET /readyz", l.readyz)
 	mux.HandleFunc("/", notFound)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !l.Runner.Ready() {
+			// Callers of an entry that starts or stops should connect anew,
+			// so that the balancer can choose another.
+			w.Header().Set("Connection", "close")
+		}
+		// The deadline that the last answer on this connection set has to go.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // Peers returns the handler for other entries.
@@ -104,6 +115,8 @@
 }
 
 func reply(w http.ResponseWriter, a messenger.Answer) {
+	// A caller that does not read its answer must not hold the connection.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	if a.Error != nil && a.Error.RetryAfterMs > 0 {
 		seconds := (a.Error.RetryAfterMs + 999) / 1000
 		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
--- a/entry/main.go
+++ b/entry/main.go
@@ -95,7 +95,8 @@
 	}
 	go stopOnSignal(r, log)
 	log.Infof("entry: %s serves callers on %s, peers on %s, operators on %s", cfg.Name, cfg.CallerAddress, cfg.PeerAddress, cfg.OperatorAddress)
-	r.Run()
+	go r.Run()
+	<-r.Over()
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	for _, s := range servers {
@@ -103,6 +104,7 @@
 			log.Warnf("entry: closing %s: %v", s.Addr, err)
 		}
 	}
+	r.End()
 	log.Info("entry: stopped")
 	return nil
 }
--- a/entry/registrar/job.go
+++ b/entry/registrar/job.go
@@ -51,6 +51,9 @@
 	Answer      *messenger.Answer
 	Ended       time.Time
 	Bytes       int64
+
+	// place is the job's index in the heap of deadlines.
+	place int
 }
 
 // Finished tells whether the job has its final answer.
--- a/entry/registrar/registrar.go
+++ b/entry/registrar/registrar.go
@@ -10,6 +10,10 @@
 	"github.com/godwitrelay/godwitrelay/core/messenger"
 )
 
+// answerOverhead is what a kept answer takes besides its results: the job's
+// record, its id and its place in the tables.
+const answerOverhead = 600
+
 // Registrar is the set of jobs. Make one with [New].
 type Registrar struct {
 	Issuer     Issuer
@@ -57,19 +61,20 @@
 	heap.Push(&r.deadlines, j)
 }
 
-// Finish sets the final answer of j and returns its waiters. Payloads are
-// dropped; the answer is kept for repeats of the submission.
+// Finish sets the final answer of j and returns its waiters. Payloads and task
+// states are dropped; the answer is kept for repeats of the submission.
 func (r *Registrar) Finish(now time.Time, j *Job, answer messenger.Answer) []uint64 {
 	waiters := j.Waiters
 	r.running--
 	r.Bytes -= j.Bytes
-	j.Bytes = 0
+	j.Bytes = answerOverhead
 	for _, result := range answer.Results {
 		j.Bytes += int64(len(result))
 	}
 	r.Bytes += j.Bytes
 	j.Answer, j.Ended = &answer, now
-	j.Payloads, j.Results, j.Waiters, j.Hints = nil, nil, nil, messenger.Submission{}
+	j.Payloads, j.Results, j.Tasks, j.Waiters, j.Hints = nil, nil, nil, nil, messenger.Submission{}
+	heap.Remove(&r.deadlines, j.place)
 	r.ended = append(r.ended, j)
 	r.endedBytes += j.Bytes
 	r.Evict(now)
@@ -91,20 +96,16 @@
 	r.ended = r.ended[n:]
 }
 
-// Overdue removes and returns the jobs in progress whose deadline has passed.
-func (r *Registrar) Overdue(now time.Time) []*Job {
-	var late []*Job
-	for len(r.deadlines) > 0 && !now.Before(r.deadlines[0].Deadline) {
-		j := heap.Pop(&r.deadlines).(*Job)
-		if !j.Finished() {
-			late = append(late, j)
-		}
+// Overdue returns a job in progress whose deadline has passed, or nil. The
+// caller must finish it before it asks again.
+func (r *Registrar) Overdue(now time.Time) *Job {
+	if len(r.deadlines) == 0 || now.Before(r.deadlines[0].Deadline) {
+		return nil
 	}
-	return late
+	return r.deadlines[0]
 }
 
-// deadlineHeap orders jobs by deadline. Finished jobs stay until their
-// deadline passes; a job is small by then.
+// deadlineHeap orders the jobs in progress by deadline.
 type deadlineHeap []*Job
 
 // Len is part of heap.Interface.
@@ -114,10 +115,17 @@
 func (h deadlineHeap) Less(a, b int) bool { return h[a].Deadline.Before(h[b].Deadline) }
 
 // Swap is part of heap.Interface.
-func (h deadlineHeap) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
+func (h deadlineHeap) Swap(a, b int) {
+	h[a], h[b] = h[b], h[a]
+	h[a].place, h[b].place = a, b
+}
 
 // Push is part of heap.Interface.
-func (h *deadlineHeap) Push(x any) { *h = append(*h, x.(*Job)) }
+func (h *deadlineHeap) Push(x any) {
+	j := x.(*Job)
+	j.place = len(*h)
+	*h = append(*h, j)
+}
 
 // Pop is part of heap.Interface.
 func (h *deadlineHeap) Pop() any {
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -50,6 +50,8 @@
 	waiters sync.Map
 	next    sync.Mutex
 	last    dispatcher.Waiter
+	over    chan struct{}
+	end     chan struct{}
 	done    chan struct{}
 	ready   sync.RWMutex
 	isReady bool
@@ -58,10 +60,11 @@
 // Init makes the runner usable; call it once before [Runner.Run].
 func (r *Runner) Init() {
 	r.events = make(chan dispatcher.Msg, queueLength)
-	r.done = make(chan struct{})
+	r.over, r.end, r.done = make(chan struct{}), make(chan struct{}), make(chan struct{})
 }
 
-// Run handles events until the reducer asks to exit.
+// Run handles events until [Runner.End] is called. Over is closed when the
+// reducer asks to exit; requests that still come in are answered until the end.
 func (r *Runner) Run() {
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
@@ -72,22 +75,24 @@
 		case msg = <-r.events:
 		case <-ticker.C:
 			msg = dispatcher.Tick{}
+		case <-r.end:
+			return
 		}
 		now := time.Now()
 		cmds := r.State.Update(now, msg)
 		r.Events.Write(now, msg, cmds)
 		for _, cmd := range cmds {
-			if _, over := cmd.(dispatcher.Exit); over {
-				return
-			}
 			r.perform(cmd)
 		}
 		r.setReady(r.State.Ready())
 	}
 }
 
-// Done is closed when the planned stop is complete.
-func (r *Runner) Done() <-chan struct{} { return r.done }
+// Over is closed when the planned stop is complete.
+func (r *Runner) Over() <-chan struct{} { return r.over }
+
+// End ends [Runner.Run].
+func (r *Runner) End() { close(r.end) }
 
 // Ready tells whether callers may be sent to this entry.
 func (r *Runner) Ready() bool {
@@ -163,6 +168,8 @@
 		r.Metrics.Observe(cmd.Priority, cmd.Outcome, cmd.Response)
 	case dispatcher.Note:
 		r.History.Record(time.Now(), cmd.Record)
+	case dispatcher.Exit:
+		close(r.over)
 	case dispatcher.Log:
 		r.Log.Info(cmd.Part + ": " + cmd.Text)
 	default:
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -99,7 +99,7 @@
 	f.Range("limits.bodyReadMs", &l.BodyReadMs, 15_000, 10, 600_000)
 	f.Range("limits.tasksPerJob", &l.TasksPerJob, 1300, 1, 100_000)
 	f.Range("limits.heldBytes", &l.HeldBytes, 256<<20, 1<<20, 64<<30)
-	f.Range("limits.answerBytes", &l.AnswerBytes, 16<<20, 1<<20, 64<<30)
+	f.Range("limits.answerBytes", &l.AnswerBytes, 64<<20, 1<<20, 64<<30)
 	f.Range("limits.defaultDeadlineMs", &l.DefaultDeadlineMs, 30_000, 1, 600_000)
 	f.Range("limits.maxDeadlineMs", &l.MaxDeadlineMs, 300_000, 1, 3_600_000)
 	f.Range("limits.connections", &l.Connections, 4096, 1, 1_000_000)
