operator: godwitctl checks, applies and shows configurations

Operators need one program that says what became of a change, also when the log's reply is lost or another operator was faster.

--- a/operator/main.go
+++ b/operator/main.go
@@ -1,4 +1,17 @@
-// Command operator is not implemented yet.
+// Command godwitctl checks, publishes and shows the configuration of
+// godwitrelay, and shows and drains its entries.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
