Add godwit-load compare and plot

Conditions are requests to control endpoints before, during and after a run.

Target counters are read from the totals of GET /control; adding up every number of the reply counted each start twice.

--- a/load/driver/driver_test.go
+++ b/load/driver/driver_test.go
@@ -60,7 +60,7 @@
 		_, _ = fmt.Fprintf(w, "# TYPE godwitrelay_wasted_messages_total counter\ngodwitrelay_wasted_messages_total{reason=\"busy\"} %d\n", n/2)
 	})
 	mux.HandleFunc("GET /control", func(w http.ResponseWriter, _ *http.Request) {
-		messenger.Reply(w, http.StatusOK, map[string]any{"targets": []map[string]int64{{"starts": tasks.Load()}, {"starts": 1}}})
+		messenger.Reply(w, http.StatusOK, map[string]any{"totals": map[string]int64{"starts": tasks.Load()}, "targets": []any{}})
 	})
 	mux.HandleFunc("GET /", func(http.ResponseWriter, *http.Request) {})
 	server := httptest.NewServer(mux)
--- a/load/main.go
+++ b/load/main.go
@@ -42,6 +42,8 @@
 		Writer: out,
 		Commands: []*cli.Command{
 			runCommand(out),
+			compareCommand(out),
+			plotCommand(),
 		},
 	}
 }
--- a/load/meter/meter.go
+++ b/load/meter/meter.go
@@ -49,6 +49,7 @@
 	work       time.Duration
 	violations int64
 	samples    []string
+	seconds    []second
 }
 
 // class is what is kept of one priority.
@@ -92,6 +93,7 @@
 		m.priorities[f.Job.Type.Priority] = c
 	}
 	c.record(f, m.settings.Path)
+	m.recordSecond(f)
 }
 
 // Violation counts a violation that was found outside a job's own answer.
@@ -181,6 +183,7 @@
 	LateMs            Quantiles                    `json:"lateMs"`
 	Violations        int64                        `json:"violations"`
 	ViolationSamples  []string                     `json:"violationSamples,omitempty"`
+	Timeline          []Second                     `json:"timeline"`
 }
 
 // Figures returns the figures of the jobs recorded so far.
@@ -199,6 +202,7 @@
 		LateMs:            quantiles(m.late),
 		Violations:        m.violations,
 		ViolationSamples:  append([]string(nil), m.samples...),
+		Timeline:          m.timeline(),
 	}
 	for p, c := range m.priorities {
 		f.Priorities[p] = Class{
--- /dev/null
+++ b/load/plotter/plotter.go
@@ -0,0 +1,142 @@
+// Package plotter draws a summary of a comparison as a small PNG.
+package plotter
+
+import (
+	"image/color"
+	"io"
+	"math"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+
+	"github.com/godwitrelay/godwitrelay/load/comparer"
+)
+
+// DefaultFigures are the figures that the objectives of docs/design.md name.
+var DefaultFigures = []string{"urgent.overIdeal.p50", "urgent.overIdeal.p99", "workOverCapacity", "wastedPerTask"}
+
+const (
+	tileWidth  = 4.2 * vg.Inch
+	tileHeight = 2.6 * vg.Inch
+	// groupWidth is the width that the bars of one condition share.
+	groupWidth = 40.0
+	columns    = 2
+)
+
+var colors = []color.Color{
+	color.RGBA{0x4e, 0x79, 0xa7, 0xff}, color.RGBA{0xf2, 0x8e, 0x2b, 0xff}, color.RGBA{0x59, 0xa1, 0x4f, 0xff},
+	color.RGBA{0xe1, 0x57, 0x59, 0xff}, color.RGBA{0xb0, 0x7a, 0xa1, 0xff}, color.RGBA{0x76, 0x76, 0x76, 0xff},
+}
+
+// Draw writes a PNG with one chart for each figure: medians as bars, one group
+// for each condition and one colour for each variant, and the range over the
+// rounds as a line.
+func Draw(w io.Writer, s comparer.Summary, figures []string) error {
+	if len(figures) == 0 {
+		return errors.New("no figure to draw")
+	}
+	rows := (len(figures) + columns - 1) / columns
+	width := min(len(figures), columns)
+	image := vgimg.New(vg.Length(width)*tileWidth, vg.Length(rows)*tileHeight)
+	canvas := draw.New(image)
+	tiles := draw.Tiles{Rows: rows, Cols: width, PadX: vg.Millimeter, PadY: vg.Millimeter}
+	for i, figure := range figures {
+		p, err := chart(s, figure)
+		if err != nil {
+			return err
+		}
+		p.Draw(tiles.At(canvas, i%columns, i/columns))
+	}
+	_, err := vgimg.PngCanvas{Canvas: image}.WriteTo(w)
+	return errors.Wrap(err, "writing the picture")
+}
+
+// chart draws one figure. A variant without the figure under a condition has
+// no bar there.
+func chart(s comparer.Summary, figure string) (*plot.Plot, error) {
+	conditions, variants := names(s)
+	p := plot.New()
+	p.Title.Text = figure
+	p.Y.Min = 0
+	p.Legend.Top = true
+	p.Legend.TextStyle.Font.Size = vg.Points(7)
+	p.X.Tick.Label.Font.Size = vg.Points(7)
+	p.NominalX(conditions...)
+	barWidth := vg.Points(groupWidth / float64(len(variants)))
+	for i, variant := range variants {
+		offset := barWidth * vg.Length(float64(i)-float64(len(variants)-1)/2)
+		values := make(plotter.Values, len(conditions))
+		for k, condition := range conditions {
+			if spread, ok := find(s, condition, variant, figure); ok {
+				values[k] = spread.Median
+			}
+		}
+		bars, err := plotter.NewBarChart(values, barWidth)
+		if err != nil {
+			return nil, errors.Wrapf(err, "drawing %s", figure)
+		}
+		bars.Color, bars.Offset, bars.LineStyle.Width = colors[i%len(colors)], offset, 0
+		p.Add(bars, spreads{s, figure, variant, conditions, offset})
+		p.Legend.Add(variant, bars)
+	}
+	return p, nil
+}
+
+// spreads draws the range over the rounds of one variant's bars. Package
+// plotter's error bars can't be moved by a length, as bars of a group are.
+type spreads struct {
+	summary         comparer.Summary
+	figure, variant string
+	conditions      []string
+	offset          vg.Length
+}
+
+// Plot implements plot.Plotter.
+func (l spreads) Plot(c draw.Canvas, p *plot.Plot) {
+	toX, toY := p.Transforms(&c)
+	style := draw.LineStyle{Color: color.Black, Width: vg.Points(0.8)}
+	for i, condition := range l.conditions {
+		if spread, ok := find(l.summary, condition, l.variant, l.figure); ok {
+			x := toX(float64(i)) + l.offset
+			c.StrokeLine2(style, x, toY(spread.Min), x, toY(spread.Max))
+		}
+	}
+}
+
+// DataRange implements plot.DataRanger, so that the lines fit the chart.
+func (l spreads) DataRange() (xmin, xmax, ymin, ymax float64) {
+	top := 0.0
+	for _, condition := range l.conditions {
+		if spread, ok := find(l.summary, condition, l.variant, l.figure); ok {
+			top = math.Max(top, spread.Max)
+		}
+	}
+	return 0, float64(len(l.conditions) - 1), 0, top
+}
+
+func find(s comparer.Summary, condition, variant, figure string) (comparer.Spread, bool) {
+	for _, row := range s.Rows {
+		if row.Condition == condition && row.Variant == variant {
+			spread, ok := row.Figures[figure]
+			return spread, ok
+		}
+	}
+	return comparer.Spread{}, false
+}
+
+func names(s comparer.Summary) (conditions, variants []string) {
+	for _, row := range s.Rows {
+		if !slices.Contains(conditions, row.Condition) {
+			conditions = append(conditions, row.Condition)
+		}
+		if !slices.Contains(variants, row.Variant) {
+			variants = append(variants, row.Variant)
+		}
+	}
+	return conditions, variants
+}
--- a/load/scraper/scraper.go
+++ b/load/scraper/scraper.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"slices"
@@ -54,11 +53,15 @@
 	messages map[string]map[string]float64
 	wasted   map[string]map[string]float64
 	targets  map[string]map[string]float64
+	starts   map[string]map[string]float64
 }
 
 // Read reads all processes.
 func (s *Scraper) Read(ctx context.Context) Sample {
-	out := Sample{map[string]map[string]float64{}, map[string]map[string]float64{}, map[string]map[string]float64{}}
+	out := Sample{
+		messages: map[string]map[string]float64{}, wasted: map[string]map[string]float64{},
+		targets: map[string]map[string]float64{}, starts: map[string]map[string]float64{},
+	}
 	for _, address := range s.entries {
 		families, err := Metrics(ctx, s.client, address)
 		if err != nil {
@@ -69,12 +72,12 @@
 		out.wasted[address] = byLabel(families[wastedTotal], wastedLabel)
 	}
 	for _, address := range s.controls {
-		counters, err := s.control(ctx, address)
+		totals, starts, err := s.control(ctx, address)
 		if err != nil {
 			log.Warnf("target %s: %v", address, err)
 			continue
 		}
-		out.targets[address] = counters
+		out.targets[address], out.starts[address] = totals, starts
 	}
 	return out
 }
@@ -123,41 +126,37 @@
 	return out
 }
 
-// control reads GET /control of a target process and adds up every number in
-// it by field name, so that the process may report per target or in total.
-func (s *Scraper) control(ctx context.Context, address string) (map[string]float64, error) {
+// targetCondition is the part of a target process's GET /control that is read.
+type targetCondition struct {
+	Targets []struct {
+		VM struct {
+			Address string `json:"address"`
+		} `json:"vm"`
+		Counters struct {
+			Starts float64 `json:"starts"`
+		} `json:"counters"`
+	} `json:"targets"`
+	Totals map[string]float64 `json:"totals"`
+}
+
+// control reads the counters of a target process, and the starts of each of
+// its targets by address.
+func (s *Scraper) control(ctx context.Context, address string) (totals, starts map[string]float64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	var reply json.RawMessage
+	var reply targetCondition
 	status, err := s.client.Call(ctx, http.MethodGet, "http://"+address+"/control", nil, &reply)
 	if err != nil {
-		return nil, errors.Wrap(err, "reading the counters")
+		return nil, nil, errors.Wrap(err, "reading the counters")
 	}
 	if status != http.StatusOK {
-		return nil, errors.Newf("reading the counters: status %d", status)
+		return nil, nil, errors.Newf("reading the counters: status %d", status)
 	}
-	var value any
-	if err := json.Unmarshal(reply, &value); err != nil {
-		return nil, errors.Wrap(err, "reading the counters")
-	}
-	out := map[string]float64{}
-	addNumbers(out, "", value)
-	return out, nil
-}
-
-func addNumbers(out map[string]float64, name string, value any) {
-	switch v := value.(type) {
-	case float64:
-		out[name] += v
-	case []any:
-		for _, element := range v {
-			addNumbers(out, name, element)
-		}
-	case map[string]any:
-		for key, element := range v {
-			addNumbers(out, key, element)
-		}
+	starts = map[string]float64{}
+	for _, t := range reply.Targets {
+		starts[t.VM.Address] = t.Counters.Starts
 	}
+	return reply.Totals, starts, nil
 }
 
 // Account is what a run cost in messages. Missing lists processes whose
@@ -167,6 +166,7 @@
 	Messages        map[string]float64 `json:"messages"`
 	Wasted          map[string]float64 `json:"wasted"`
 	Targets         map[string]float64 `json:"targets,omitempty"`
+	StartsByTarget  map[string]float64 `json:"startsByTarget,omitempty"`
 	AllMessages     float64            `json:"allMessages"`
 	AllWasted       float64            `json:"allWasted"`
 	FinishedTasks   int64              `json:"finishedTasks"`
@@ -182,6 +182,7 @@
 	a.Messages = a.difference(before.messages, after.messages)
 	a.Wasted = a.difference(before.wasted, after.wasted)
 	a.Targets = a.difference(before.targets, after.targets)
+	a.StartsByTarget = a.difference(before.starts, after.starts)
 	a.AllMessages, a.AllWasted = total(a.Messages), total(a.Wasted)
 	if tasks > 0 {
 		a.MessagesPerTask = a.AllMessages / float64(tasks)
--- a/load/scraper/scraper_test.go
+++ b/load/scraper/scraper_test.go
@@ -13,17 +13,19 @@
 		messages: counters{"a": {"start": 10, "slots": 5}, "killed": {"start": 100}},
 		wasted:   counters{"a": {"busy": 1}, "killed": {}},
 		targets:  counters{"t": {"starts": 3}},
+		starts:   counters{"t": {"x": 1, "y": 2}},
 	}
 	after := Sample{
 		messages: counters{"a": {"start": 30, "slots": 5, "probe": 2}, "late": {"start": 7}},
 		wasted:   counters{"a": {"busy": 1, "probe": 2}, "late": {}},
 		targets:  counters{"t": {"starts": 23}},
+		starts:   counters{"t": {"x": 11, "y": 12}},
 	}
 	got := Compare(before, after, 20)
 	want := &Account{
 		Messages: map[string]float64{"start": 20, "slots": 0, "probe": 2},
 		Wasted:   map[string]float64{"busy": 0, "probe": 2},
-		Targets:  map[string]float64{"starts": 20}, FinishedTasks: 20,
+		Targets:  map[string]float64{"starts": 20}, StartsByTarget: map[string]float64{"x": 10, "y": 10}, FinishedTasks: 20,
 		AllMessages: 22, AllWasted: 2, MessagesPerTask: 1.1, WastedPerTask: 0.1,
 		Missing: []string{"killed", "late"},
 	}
