--- a/load/plotter/plotter.go
+++ b/load/plotter/plotter.go
@@ -21,11 +21,18 @@
 var DefaultFigures = []string{"urgent.overIdeal.p50", "urgent.overIdeal.p99", "workOverCapacity", "wastedPerTask"}
 
 const (
-	tileWidth  = 4.2 * vg.Inch
-	tileHeight = 2.6 * vg.Inch
-	// groupWidth is the width that the bars of one condition share.
-	groupWidth = 40.0
-	columns    = 2
+	width      = 8.4 * vg.Inch
+	tileHeight = 2.4 * vg.Inch
+	// wideConditions is the number of conditions from which a chart needs the
+	// whole width of the picture.
+	wideConditions = 5
+	// maxGroup is the largest width that the bars of one condition share, and
+	// axisWidth what a chart needs besides its bars.
+	maxGroup  = vg.Length(40)
+	axisWidth = vg.Length(60)
+	margin    = 3 * vg.Millimeter
+	// headroom is the part of a chart that is kept free for the legend.
+	headroom = 0.3
 )
 
 var colors = []color.Color{
@@ -40,13 +47,20 @@
 	if len(figures) == 0 {
 		return errors.New("no figure to draw")
 	}
+	conditions, _ := names(s)
+	columns := 2
+	if len(conditions) >= wideConditions {
+		columns = 1
+	}
 	rows := (len(figures) + columns - 1) / columns
-	width := min(len(figures), columns)
-	image := vgimg.New(vg.Length(width)*tileWidth, vg.Length(rows)*tileHeight)
+	image := vgimg.New(width, vg.Length(rows)*tileHeight)
 	canvas := draw.New(image)
-	tiles := draw.Tiles{Rows: rows, Cols: width, PadX: vg.Millimeter, PadY: vg.Millimeter}
+	tiles := draw.Tiles{
+		Rows: rows, Cols: columns, PadX: margin, PadY: margin,
+		PadTop: margin, PadBottom: margin, PadLeft: margin, PadRight: margin,
+	}
 	for i, figure := range figures {
-		p, err := chart(s, figure)
+		p, err := chart(s, figure, width/vg.Length(columns)-axisWidth)
 		if err != nil {
 			return err
 		}
@@ -56,9 +70,9 @@
 	return errors.Wrap(err, "writing the picture")
 }
 
-// chart draws one figure. A variant without the figure under a condition has
-// no bar there.
-func chart(s comparer.Summary, figure string) (*plot.Plot, error) {
+// chart draws one figure with room points for all bars. A variant without the
+// figure under a condition has no bar there.
+func chart(s comparer.Summary, figure string, room vg.Length) (*plot.Plot, error) {
 	conditions, variants := names(s)
 	p := plot.New()
 	p.Title.Text = figure
@@ -67,7 +81,9 @@
 	p.Legend.TextStyle.Font.Size = vg.Points(7)
 	p.X.Tick.Label.Font.Size = vg.Points(7)
 	p.NominalX(conditions...)
-	barWidth := vg.Points(groupWidth / float64(len(variants)))
+	p.X.Min, p.X.Max = -0.5, float64(len(conditions))-0.5
+	group := min(maxGroup, 0.8*room/vg.Length(len(conditions)))
+	barWidth := group / vg.Length(len(variants))
 	for i, variant := range variants {
 		offset := barWidth * vg.Length(float64(i)-float64(len(variants)-1)/2)
 		values := make(plotter.Values, len(conditions))
@@ -116,7 +132,7 @@
 			top = math.Max(top, spread.Max)
 		}
 	}
-	return 0, float64(len(l.conditions) - 1), 0, top
+	return 0, float64(len(l.conditions) - 1), 0, top * (1 + headroom)
 }
 
 func find(s comparer.Summary, condition, variant, figure string) (comparer.Spread, bool) {
