--- a/load/main.go
+++ b/load/main.go
@@ -42,6 +42,7 @@
 		Writer: out,
 		Commands: []*cli.Command{
 			runCommand(out),
+			submitCommand(out),
 			compareCommand(out),
 			plotCommand(),
 		},
--- a/load/run.go
+++ b/load/run.go
@@ -37,7 +37,9 @@
 		Name:        "run",
 		Usage:       "send one workload and report response times and messages",
 		Description: runDescription,
-		Flags:       append(runFlags(), &cli.StringFlag{Name: "out", Usage: "write the result to `FILE` instead of standard output"}),
+		Flags: append(runFlags(),
+			&cli.StringFlag{Name: "out", Usage: "write the result to `FILE` instead of standard output"},
+			&cli.BoolFlag{Name: "summary", Usage: "print a table after the result"}),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			settings, err := runSettings(c)
 			if err != nil {
@@ -50,6 +52,9 @@
 			if err := writeResult(out, c.String("out"), reports); err != nil {
 				return err
 			}
+			if c.Bool("summary") {
+				printSummary(out, reports)
+			}
 			if n := reports.Violations(); n > 0 {
 				return errors.Newf("%d violations", n)
 			}
