core: fuzz targets and tests of the library packages

loader.Parse left settings changed in part when it refused a file; a new test showed it. It now reads into a copy and takes it over as a whole.

--- /dev/null
+++ b/core/follower/fuzz_test.go
@@ -0,0 +1,61 @@
+package follower
+
+import (
+	"encoding/json"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/godwitrelay/godwitrelay/core/messenger"
+)
+
+// FuzzRecord guards against a record of the log that crashes a reader, that is
+// applied in part, or that is skipped without being counted.
+func FuzzRecord(f *testing.F) {
+	for _, seed := range malformed {
+		f.Add([]byte(seed))
+	}
+	for _, r := range []Record{
+		{Kind: Change, ChangeID: "next", Base: "first", Configuration: config(2)},
+		{Kind: Change, ChangeID: "next", Configuration: config(2)},
+		{Kind: Change, ChangeID: "first", Configuration: config(1)},
+		{Kind: Snapshot, ChangeID: "first", Version: 1, Configuration: config(1)},
+		{Kind: Snapshot, ChangeID: "other", Version: 1, Configuration: config(3)},
+	} {
+		data, _ := json.Marshal(r)
+		f.Add(data)
+	}
+	f.Add([]byte(`{"kind":"change","changeId":"` + strings.Repeat("x", MaxIDBytes+1) + `","configuration":{"failureDomains":["a"]}}`))
+	f.Add([]byte(`{"kind":`))
+	first, _ := json.Marshal(Record{Kind: Change, ChangeID: "first", Configuration: config(1)})
+	f.Fuzz(func(t *testing.T, value []byte) {
+		s := New()
+		page := messenger.LogPage{Next: 2, Records: []messenger.LogRecord{{Offset: 0, Value: first}, {Offset: 1, Value: value}}}
+		res, err := s.Fold(epoch, page)
+		if err != nil || !res.CaughtUp {
+			t.Fatalf("the page was not folded: %+v %v", res, err)
+		}
+		checkFolded(t, s.Present(), res, value)
+	})
+}
+
+// checkFolded checks what a reader at version 1 made of value at offset 1.
+func checkFolded(t *testing.T, got Accepted, res Result, value []byte) {
+	t.Helper()
+	r, err := Parse(1, value)
+	if err != nil {
+		if len(res.Skipped) != 1 || res.Skipped[0].Offset != 1 || res.Skipped[0].Reason == "" {
+			t.Errorf("skipped: %+v", res.Skipped)
+		}
+	}
+	want := Accepted{Version: 1, ChangeID: "first", ReadThrough: 1, Configuration: config(1)}
+	if err == nil && r.Kind == Change && r.Base == "first" {
+		want.Version, want.ChangeID, want.Configuration = 2, r.ChangeID, r.Configuration
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v\nwant %+v", got, want)
+	}
+	if got.Configuration.Sound() != nil {
+		t.Errorf("an unsound configuration is in force: %+v", got)
+	}
+}
--- a/core/loader/loader.go
+++ b/core/loader/loader.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -21,7 +22,7 @@
 }
 
 // Load reads the file at path into settings and checks it. The error lists
-// every fault, one a line.
+// every fault, one a line; settings is then as it was before.
 func Load(path string, settings Checker) error {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -30,8 +31,21 @@
 	return Parse(path, data, settings)
 }
 
-// Parse is [Load] for data that was read before; name appears in errors.
+// Parse is [Load] for data that was read before; name appears in errors. After
+// an error settings is as it was before, but for the contents of maps that it
+// held already. Settings must be a pointer that is not nil.
 func Parse(name string, data []byte, settings Checker) error {
+	held := reflect.ValueOf(settings).Elem()
+	read := reflect.New(held.Type())
+	read.Elem().Set(held)
+	if err := parse(name, data, read.Interface().(Checker)); err != nil {
+		return err
+	}
+	held.Set(read.Elem())
+	return nil
+}
+
+func parse(name string, data []byte, settings Checker) error {
 	plain, err := hujson.Standardize(data)
 	if err != nil {
 		return errors.Wrapf(err, "settings %s", name)
