--- a/core/follower/snapshot.go
+++ b/core/follower/snapshot.go
@@ -14,6 +14,10 @@
 	// spread their snapshots, so that usually one of them writes it and the
 	// others see it in time.
 	snapshotSpread = 6
+	// urgentSpread is the largest delay when the log has forgotten the last
+	// starting point. Until there is a new one no operator can apply a change
+	// and no VM can start from the log.
+	urgentSpread = 10 * time.Second
 	// markSpacing is the divisor of the retention time between two remembered
 	// ages of records.
 	markSpacing = 60
@@ -25,6 +29,7 @@
 type start struct {
 	retention time.Duration
 	known     bool
+	forgotten bool
 	from      int64
 	// unknownSince is when the reader first had no starting point to name.
 	unknownSince time.Time
@@ -68,13 +73,13 @@
 	if _, ok := s.born(from); !ok {
 		return
 	}
-	s.known, s.from, s.unknownSince = true, from, time.Time{}
+	s.known, s.forgotten, s.from, s.unknownSince = true, false, from, time.Time{}
 }
 
 // forget drops what the log no longer keeps.
 func (s *start) forget(first int64) {
 	if s.known && s.from < first {
-		s.known = false
+		s.known, s.forgotten = false, true
 	}
 	for len(s.marks) > 1 && s.marks[1].offset <= first {
 		s.marks = s.marks[1:]
@@ -98,7 +103,8 @@
 // a sixth of the retention; random, from 0 to 1, picks the delay. It moves on
 // when another reader's snapshot has been folded. A reader that knows of no
 // starting point, because it learned its state from a peer, waits for the delay
-// alone.
+// alone. If the log has forgotten the last one, the delay is at most
+// urgentSpread.
 //
 // A recent change is no starting point by itself: without what came before it a
 // reader can't tell whether it was accepted.
@@ -106,7 +112,11 @@
 	if s.lost || s.accepted.Version == 0 || s.start.retention <= 0 {
 		return time.Time{}, false
 	}
-	delay := time.Duration(random * float64(s.start.retention/snapshotSpread))
+	spread := s.start.retention / snapshotSpread
+	if s.start.forgotten {
+		spread = min(spread, urgentSpread)
+	}
+	delay := time.Duration(random * float64(spread))
 	if !s.start.known {
 		return s.start.unknownSince.Add(delay), true
 	}
--- a/core/follower/snapshot_test.go
+++ b/core/follower/snapshot_test.go
@@ -51,9 +51,7 @@
 	fold(at)
 	l.first = 5
 	fold(at.Add(time.Minute))
-	if due, ok := s.SnapshotDue(0); !ok || due.After(at.Add(time.Minute)) {
-		t.Errorf("every starting point is forgotten: due %s %v", due, ok)
-	}
+	expect("every starting point is forgotten", at.Add(time.Minute+urgentSpread/2))
 }
 
 // TestSnapshotDueAfterAdopt guards against readers that all learned their state
--- a/core/publisher/reader.go
+++ b/core/publisher/reader.go
@@ -20,9 +20,9 @@
 	// record of follower.MaxRecordBytes a page may be over the client's limit of
 	// 64 MiB; Reader halves the number then.
 	pageRecords = 256
-	// snapshotRetry is the divisor of the retention time between two attempts
-	// of one reader to publish a snapshot.
-	snapshotRetry = 100
+	// snapshotRetry is the time between two attempts of one reader to publish a
+	// snapshot. With a short retention it is a hundredth of that.
+	snapshotRetry = 5 * time.Second
 )
 
 // Step is what one call of [Reader.Follow] found.
@@ -181,6 +181,6 @@
 	if !ok || !r.caughtUp || now.Before(due) || now.Before(r.retry) {
 		return follower.Record{}, false
 	}
-	r.retry = now.Add(r.state.Retention() / snapshotRetry)
+	r.retry = now.Add(min(snapshotRetry, r.state.Retention()/100))
 	return r.state.SnapshotRecord(), true
 }
