--- a/core/publisher/apply.go
+++ b/core/publisher/apply.go
@@ -152,7 +152,7 @@
 		fate.Verdict, fate.Reason = NotAccepted, err.Error()
 		return err
 	}
-	if !errors.Is(err, messenger.ErrNotSent) && !errors.Is(err, ErrRefused) {
+	if !errors.IsAny(err, messenger.ErrNotSent, ErrRefused, ErrBusy) {
 		fate.Sent = true
 	}
 	return err
--- a/core/publisher/apply_test.go
+++ b/core/publisher/apply_test.go
@@ -51,7 +51,7 @@
 	}
 	fault := -1
 	if l.rng.Intn(100) < l.faults {
-		fault = l.rng.Intn(5)
+		fault = l.rng.Intn(6)
 	}
 	if fault == 0 {
 		return nil, errors.New("connection refused")
@@ -59,8 +59,11 @@
 	if trace := httptrace.ContextClientTrace(req.Context()); trace != nil {
 		trace.GotConn(httptrace.GotConnInfo{})
 	}
-	if fault == 1 {
+	switch fault {
+	case 1:
 		return answer(http.StatusServiceUnavailable, []byte("outage")), nil
+	case 5:
+		return answer(http.StatusTooManyRequests, []byte("busy")), nil
 	}
 	body := l.serve(req, fault == 2)
 	switch fault {
