--- a/core/follower/snapshot.go
+++ b/core/follower/snapshot.go
@@ -18,6 +18,11 @@
 	// starting point. Until there is a new one no operator can apply a change
 	// and no VM can start from the log.
 	urgentSpread = 10 * time.Second
+	// snapshotRecords is the number of records after which a starting point is
+	// renewed whatever its age, so that readers without state have little to
+	// read. lengthSpread is the largest delay then.
+	snapshotRecords = 256
+	lengthSpread    = time.Minute
 	// markSpacing is the divisor of the retention time between two remembered
 	// ages of records.
 	markSpacing = 60
@@ -33,7 +38,10 @@
 	from      int64
 	// unknownSince is when the reader first had no starting point to name.
 	unknownSince time.Time
-	marks        []mark
+	// longSince is when the reader first saw snapshotRecords records after the
+	// starting point.
+	longSince time.Time
+	marks     []mark
 }
 
 // mark remembers when the record at offset was written.
@@ -73,7 +81,16 @@
 	if _, ok := s.born(from); !ok {
 		return
 	}
-	s.known, s.forgotten, s.from, s.unknownSince = true, false, from, time.Time{}
+	s.known, s.forgotten, s.from = true, false, from
+	s.unknownSince, s.longSince = time.Time{}, time.Time{}
+}
+
+// measure notes at the time now that the reader folds the offset next as the
+// next one.
+func (s *start) measure(now time.Time, next int64) {
+	if s.known && s.longSince.IsZero() && next-s.from >= snapshotRecords {
+		s.longSince = now
+	}
 }
 
 // forget drops what the log no longer keeps.
@@ -104,7 +121,8 @@
 // when another reader's snapshot has been folded. A reader that knows of no
 // starting point, because it learned its state from a peer, waits for the delay
 // alone. If the log has forgotten the last one, the delay is at most
-// urgentSpread.
+// urgentSpread. After snapshotRecords records it is due early, within
+// lengthSpread.
 //
 // A recent change is no starting point by itself: without what came before it a
 // reader can't tell whether it was accepted.
@@ -124,7 +142,15 @@
 	if !ok {
 		return time.Time{}, false
 	}
-	return born.Add(s.start.retention/snapshotAge + delay), true
+	due := born.Add(s.start.retention/snapshotAge + delay)
+	if s.start.longSince.IsZero() {
+		return due, true
+	}
+	long := s.start.longSince.Add(time.Duration(random * float64(min(spread, lengthSpread))))
+	if long.Before(due) {
+		due = long
+	}
+	return due, true
 }
 
 // SnapshotRecord returns the record that publishes the present version.
--- a/core/follower/snapshot_test.go
+++ b/core/follower/snapshot_test.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -71,3 +72,30 @@
 		t.Errorf("due %s %v, want %s", due, ok, want)
 	}
 }
+
+// TestSnapshotDueByLength guards against a log in which a reader without state
+// has to read a long way.
+func TestSnapshotDueByLength(t *testing.T) {
+	var l fakeLog
+	base := ""
+	for i := range snapshotRecords {
+		id := fmt.Sprint("c", i)
+		l.add(epoch, Record{Kind: Change, ChangeID: id, Base: base, Configuration: config(i)})
+		base = id
+	}
+	s := New()
+	expect := func(limit int, want time.Duration) {
+		t.Helper()
+		if _, err := s.Fold(epoch, l.page(epoch, s.Want(), limit)); err != nil {
+			t.Fatal(err)
+		}
+		if due, ok := s.SnapshotDue(0.5); !ok || due.Sub(epoch) != want {
+			t.Errorf("due after %s %v, want %s", due.Sub(epoch), ok, want)
+		}
+	}
+	usual := retention/snapshotAge + retention/snapshotSpread/2
+	expect(snapshotRecords-1, usual)
+	expect(1, lengthSpread/2)
+	l.add(epoch, l.snapshotAt(snapshotRecords-1))
+	expect(1, usual)
+}
--- a/core/follower/state.go
+++ b/core/follower/state.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"math"
 	"reflect"
 	"time"
 
@@ -63,7 +64,7 @@
 type State struct {
 	accepted Accepted
 	lost     bool
-	scan     int64
+	search   search
 	judged   int64
 	skipped  int64
 	conflict int64
@@ -72,9 +73,13 @@
 
 // New returns a reader that has read nothing.
 func New() *State {
-	return &State{accepted: Accepted{ReadThrough: -1}}
+	return &State{accepted: Accepted{ReadThrough: -1}, search: search{window: firstWindow}}
 }
 
+// SearchFromOldest makes the reader look for a snapshot from the oldest record
+// on, so that it sees every record that the log still keeps.
+func (s *State) SearchFromOldest() { s.search.window = math.MaxInt64 }
+
 // Present returns the configuration in force. Version is 0 if there is none.
 // The maps of the configuration must not be written to.
 func (s *State) Present() Accepted { return s.accepted }
@@ -82,7 +87,7 @@
 // Want returns the offset from which the next page must be read.
 func (s *State) Want() int64 {
 	if s.lost {
-		return s.scan
+		return s.search.scan
 	}
 	return s.accepted.ReadThrough + 1
 }
@@ -109,10 +114,14 @@
 	s.skip(&res, records)
 	s.start.note(now, page)
 	if page.First > s.accepted.ReadThrough+1 {
-		s.lose(page)
-		s.search(&res, page, records)
+		if !s.lost {
+			s.lost = true
+			s.search.begin(page)
+		}
+		s.find(&res, page, records)
 	}
 	err := s.foldRecords(&res, records)
+	s.start.measure(now, s.accepted.ReadThrough+1)
 	res.Changed = s.accepted.Version > before
 	res.CaughtUp = !s.lost && s.accepted.ReadThrough+1 >= page.Next
 	return res, err
@@ -172,23 +181,11 @@
 	}
 }
 
-// lose gives up the position because the log has forgotten the next record.
-func (s *State) lose(page messenger.LogPage) {
-	if !s.lost {
-		s.lost = true
-		s.scan = page.First
-	}
-	s.scan = max(s.scan, page.First)
-}
-
-// search looks for the usable snapshot with the highest ReadThrough and takes
-// its state and its position.
-func (s *State) search(res *Result, page messenger.LogPage, records []parsed) {
+// find looks for the usable snapshot with the highest ReadThrough in a page, and
+// takes its state and its position.
+func (s *State) find(res *Result, page messenger.LogPage, records []parsed) {
 	best := -1
 	for i, p := range records {
-		if p.offset == s.scan {
-			s.scan++
-		}
 		if p.err != nil || p.record.Kind != Snapshot || p.record.ReadThrough+1 < page.First {
 			continue
 		}
@@ -201,6 +198,7 @@
 		}
 	}
 	if best < 0 {
+		s.search.advance(page)
 		return
 	}
 	s.accepted = stateOf(records[best].record)
--- a/core/follower/state_test.go
+++ b/core/follower/state_test.go
@@ -98,6 +98,17 @@
 	changes int
 }
 
+// newReader returns a reader without state. Small windows make the search for a
+// snapshot take several of them.
+func (w *world) newReader() *reader {
+	s := New()
+	s.search.window = int64(1 + w.rng.Intn(8))
+	if w.rng.Intn(4) == 0 {
+		s.SearchFromOldest()
+	}
+	return &reader{state: s, before: Accepted{ReadThrough: -1}}
+}
+
 var malformed = []string{
 	`null`, `3`, `"x"`, `[]`, `{}`, `{"kind":"change"}`, `{"kind":"other","changeId":"x"}`,
 	`{"kind":"change","changeId":"x","base":"x","configuration":{"failureDomains":["a"]}}`,
@@ -162,7 +173,7 @@
 	case n == 7:
 		w.log.first += int64(w.rng.Intn(1 + len(w.log.values) - int(w.log.first)))
 	case n == 8 || r == nil:
-		w.readers = append(w.readers, &reader{state: New(), before: Accepted{ReadThrough: -1}})
+		w.readers = append(w.readers, w.newReader())
 	case n < 15:
 		_, _ = r.state.Fold(w.now, w.log.page(w.now, r.state.Want(), 1+w.rng.Intn(6)))
 	case n == 15: // a page that arrives later than others
@@ -212,7 +223,7 @@
 // checkEnd reads the log to its end with each reader, and with a new one. They
 // must reach it wherever the rules allow a start.
 func (w *world) checkEnd() error {
-	for i, r := range append(w.readers, &reader{state: New()}) {
+	for i, r := range append(w.readers, w.newReader()) {
 		usable := w.log.first <= r.state.Present().ReadThrough+1
 		for o := w.log.first; o < int64(len(w.log.values)); o++ {
 			rec, err := Parse(o, w.log.values[o])
--- a/core/publisher/apply.go
+++ b/core/publisher/apply.go
@@ -59,7 +59,8 @@
 	// Version is the number that the change got. Set for InForce.
 	Version int64
 	// WinnerID and WinnerAuthor name the change that came into force instead,
-	// as far as the log still shows it. Set for LostRace.
+	// as far as it was read. Both are empty if the base was followed longer ago.
+	// Set for LostRace.
 	WinnerID     string
 	WinnerAuthor string
 	// Sent is set when the record may have been written.
@@ -93,6 +94,10 @@
 	run := &application{Applier: a, proposal: p, history: newHistory()}
 	run.reader = NewReader(a.Log, 0)
 	run.reader.Observe = run.history.observe
+	if p.Again {
+		// The change may be far back in the log.
+		run.reader.SearchFromOldest()
+	}
 	fate := Fate{Sent: p.Again}
 	for {
 		err := run.attempt(ctx, &fate)
@@ -185,9 +190,8 @@
 		fate.Verdict = Unknown
 		fate.Reason = "the base " + p.Base + " is not in force, and the log no longer shows what followed it"
 	default:
+		// Nothing was written yet, and the base is not in force any more.
 		fate.Verdict = LostRace
-		fate.WinnerID = fate.Present.ChangeID
-		fate.WinnerAuthor = a.history.changes[fate.Present.ChangeID].author
 	}
 }
 
--- a/core/publisher/reader.go
+++ b/core/publisher/reader.go
@@ -94,6 +94,10 @@
 func (r *Reader) Follow(ctx context.Context, now time.Time) (Step, error) {
 	var step Step
 	limit := pageRecords
+	if r.fresh() {
+		// The first page tells where the log begins and ends.
+		limit = 1
+	}
 	for {
 		from := r.want()
 		page, err := r.Log.Read(ctx, from, limit)
@@ -104,6 +108,9 @@
 		if err != nil {
 			return r.end(step, false), err
 		}
+		if from == 0 {
+			limit = pageRecords
+		}
 		r.observe(page)
 		done, err := r.fold(&step, now, from, page)
 		if done || err != nil {
@@ -112,6 +119,22 @@
 	}
 }
 
+// fresh reports whether nothing has been read yet.
+func (r *Reader) fresh() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Want() == 0
+}
+
+// SearchFromOldest makes the reader read every record that the log still keeps,
+// for Observe. Without it a reader without state looks for a snapshot among the
+// newest records first.
+func (r *Reader) SearchFromOldest() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.SearchFromOldest()
+}
+
 func (r *Reader) want() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/operator/apply.go
+++ b/operator/apply.go
@@ -145,8 +145,8 @@
 		return a.wait(ctx, fate.Version)
 	case publisher.LostRace:
 		a.history.Record(time.Now(), recorder.Record{Event: recorder.ChangeLost, ChangeID: p.ChangeID})
-		return exit(exitLost, errors.Newf("lost to change %s by %s; version %d is in force: look at \"godwitctl diff\" and apply again",
-			fate.WinnerID, orUnknown(fate.WinnerAuthor), fate.Present.Version))
+		return exit(exitLost, errors.Newf("%s; version %d, change %s, is in force: look at \"godwitctl diff\" and apply again",
+			lostTo(p, fate), fate.Present.Version, fate.Present.ChangeID))
 	case publisher.NotAccepted:
 		return exit(exitRefused, errors.Newf("refused: %s", fate.Reason))
 	case publisher.Unknown:
@@ -174,11 +174,15 @@
 	return strings.Join(args, " ")
 }
 
-func orUnknown(author string) string {
-	if author == "" {
-		return "an unknown author"
+// lostTo names the change that was faster.
+func lostTo(p publisher.Proposal, fate publisher.Fate) string {
+	switch {
+	case fate.WinnerID == "":
+		return "lost: the base " + baseName(p.Base) + " is not in force"
+	case fate.WinnerAuthor == "":
+		return "lost to change " + fate.WinnerID
 	}
-	return author
+	return "lost to change " + fate.WinnerID + " by " + fate.WinnerAuthor
 }
 
 func since(began time.Time) time.Duration { return time.Since(began).Round(time.Millisecond) }
--- a/operator/command_test.go
+++ b/operator/command_test.go
@@ -214,10 +214,11 @@
 func TestApplyLosesRace(t *testing.T) {
 	b := newBench(t)
 	b.platform.set(func() { b.platform.rival = true })
-	b.run(exitLost, "apply "+sheetPath, "lost to change rival by rita; version 1 is in force")
+	b.run(exitLost, "apply "+sheetPath, "lost to change rival by rita; version 1, change rival, is in force")
+	b.run(exitLost, "apply --base mistyped "+sheetPath, "lost: the base mistyped is not in force")
 	b.run(exitLost, "apply --base= "+sheetPath, "lost to change rival by rita")
 	b.run(exitDone, "apply --base rival "+sheetPath, "in force as version 2")
-	b.recorded("changeProposed", "changeLost", "changeProposed", "changeLost", "changeProposed", "changeAccepted")
+	b.recorded("changeProposed", "changeLost", "changeProposed", "changeLost", "changeProposed", "changeLost", "changeProposed", "changeAccepted")
 }
 
 // TestApplyUnknownFate guards against a command to run again that publishes the
