--- a/core/publisher/reader.go
+++ b/core/publisher/reader.go
@@ -20,9 +20,9 @@
 	// record of follower.MaxRecordBytes a page may be over the client's limit of
 	// 64 MiB; Reader halves the number then.
 	pageRecords = 256
-	// snapshotRetry is the divisor of the retention time between two attempts
-	// of one reader to publish a snapshot.
-	snapshotRetry = 100
+	// snapshotRetry is the time between two attempts of one reader to publish a
+	// snapshot. With a short retention it is a hundredth of that.
+	snapshotRetry = 5 * time.Second
 )
 
 // Step is what one call of [Reader.Follow] found.
@@ -94,6 +94,10 @@
 func (r *Reader) Follow(ctx context.Context, now time.Time) (Step, error) {
 	var step Step
 	limit := pageRecords
+	if r.fresh() {
+		// The first page tells where the log begins and ends.
+		limit = 1
+	}
 	for {
 		from := r.want()
 		page, err := r.Log.Read(ctx, from, limit)
@@ -104,6 +108,9 @@
 		if err != nil {
 			return r.end(step, false), err
 		}
+		if from == 0 {
+			limit = pageRecords
+		}
 		r.observe(page)
 		done, err := r.fold(&step, now, from, page)
 		if done || err != nil {
@@ -112,6 +119,22 @@
 	}
 }
 
+// fresh reports whether nothing has been read yet.
+func (r *Reader) fresh() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Want() == 0
+}
+
+// SearchFromOldest makes the reader read every record that the log still keeps,
+// for Observe. Without it a reader without state looks for a snapshot among the
+// newest records first.
+func (r *Reader) SearchFromOldest() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.SearchFromOldest()
+}
+
 func (r *Reader) want() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -181,6 +204,6 @@
 	if !ok || !r.caughtUp || now.Before(due) || now.Before(r.retry) {
 		return follower.Record{}, false
 	}
-	r.retry = now.Add(r.state.Retention() / snapshotRetry)
+	r.retry = now.Add(min(snapshotRetry, r.state.Retention()/100))
 	return r.state.SnapshotRecord(), true
 }
