Test the broker's invariants over generated event lists

Cause: slots, shares and the fate of each task must hold for any order of requests, releases, registrations, repeats, losses and failures.

Change: gopter drives the broker with a small model of three entries and five targets and compares every target's slots in use with the live grants after each event. Found and fixed: a status without memory lifted the memory limit of its target, and a job that was registered by held grants alone lost its declared memory and deadline (HeldGrant now has both). BenchmarkGrantRelease is new.

--- a/core/messenger/slot.go
+++ b/core/messenger/slot.go
@@ -71,12 +71,16 @@
 }
 
 // HeldGrant is a running task in a registration. RanMs is how long it has run.
+// DeclaredMemoryMB and DeadlineInMs are those of its job; they are needed if
+// the task has to be granted again.
 type HeldGrant struct {
-	Grant       Grant    `json:"grant"`
-	Team        string   `json:"team"`
-	RequestType string   `json:"requestType"`
-	Priority    Priority `json:"priority"`
-	RanMs       int64    `json:"ranMs"`
+	Grant            Grant    `json:"grant"`
+	Team             string   `json:"team"`
+	RequestType      string   `json:"requestType"`
+	Priority         Priority `json:"priority"`
+	RanMs            int64    `json:"ranMs"`
+	DeclaredMemoryMB int64    `json:"declaredMemoryMB,omitempty"`
+	DeadlineInMs     int64    `json:"deadlineInMs,omitempty"`
 }
 
 // SlotRefusal says that a job was not admitted, or that its next task can't be
--- /dev/null
+++ b/entry/broker/bench_test.go
@@ -0,0 +1,80 @@
+package broker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/godwitrelay/godwitrelay/core/messenger"
+)
+
+// BenchmarkGrantRelease measures one release that leads to one grant, while
+// jobs of 16 tasks keep the queue at its length. One operation is one grant
+// and release; batch is the number of releases in one message.
+//
+//	go test -run '^$' -bench GrantRelease -benchmem ./broker
+func BenchmarkGrantRelease(b *testing.B) {
+	for _, size := range []struct{ targets, jobs, batch int }{
+		{100, 300, 1}, {100, 300, 16}, {500, 3000, 1}, {500, 3000, 16}, {500, 30, 16},
+	} {
+		b.Run(fmt.Sprintf("targets=%d/jobs=%d/batch=%d", size.targets, size.jobs, size.batch), func(b *testing.B) {
+			benchGrants(b, size.targets, size.jobs, size.batch)
+		})
+	}
+}
+
+func benchGrants(b *testing.B, targets, jobs, batch int) {
+	const tasks = 16
+	c := testConfiguration()
+	service := c.Services["orders"]
+	service.Slots = targets * 8
+	c.Services["orders"] = service
+	for name, t := range c.Teams {
+		t.Slots = targets * 8
+		c.Teams[name] = t
+	}
+	s := newBench(c, Settings{}, targets, 8)
+	ids := make([]string, 1<<16)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("entry1-incarnation-%08d", i)
+	}
+	next := 0
+	request := func() messenger.SlotRequest {
+		r := testRequest(ids[next%len(ids)], "check", tasks)
+		r.DeadlineInMs = 1 << 40
+		next++
+		return r
+	}
+	var live []messenger.Grant
+	collect := func(cmds []Cmd) {
+		for _, c := range cmds {
+			if m, ok := c.(Send); ok {
+				live = append(live, m.Grants...)
+			}
+		}
+	}
+	for range jobs + targets*8/tasks {
+		collect(s.from(self, messenger.SlotsRequest{Requests: []messenger.SlotRequest{request()}}))
+	}
+	var releases []messenger.Release
+	done, head := 0, 0
+	b.ReportAllocs()
+	b.ResetTimer()
+	for n := 0; n < b.N; n += batch {
+		s.at = s.at.Add(time.Microsecond)
+		releases = releases[:0]
+		for _, g := range live[head : head+batch] {
+			releases = append(releases, messenger.Release{Grant: g, Team: "red", RequestType: "check", Outcome: messenger.GrantDone, RunMs: 100})
+		}
+		if head += batch; head > 1<<16 {
+			live, head = append(live[:0], live[head:]...), 0
+		}
+		r := messenger.SlotsRequest{Releases: releases}
+		if done += batch; done >= tasks {
+			done -= tasks
+			r.Requests = []messenger.SlotRequest{request()}
+		}
+		collect(s.from(self, r))
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "pairs/s")
+}
--- a/entry/broker/grant.go
+++ b/entry/broker/grant.go
@@ -164,9 +164,6 @@
 // with the grant, or its release, was lost.
 func (s *State) sweepGrants() {
 	for _, p := range s.sortedPeers() {
-		if len(p.grants) == 0 || s.now < p.nextCheck {
-			continue
-		}
 		if !s.members[p.member] {
 			for _, g := range slices.Clone(p.grants) {
 				if s.now >= g.ends {
@@ -176,6 +173,9 @@
 			}
 			continue
 		}
+		if s.now < p.nextCheck {
+			continue
+		}
 		p.nextCheck = s.now + s.Settings.LeaseMs*ms
 		for _, g := range p.grants {
 			if s.now >= g.ends+g.job.kind.maxRunMs*ms {
--- a/entry/broker/health.go
+++ b/entry/broker/health.go
@@ -1,6 +1,10 @@
 package broker
 
-import "github.com/godwitrelay/godwitrelay/core/messenger"
+import (
+	"math/bits"
+
+	"github.com/godwitrelay/godwitrelay/core/messenger"
+)
 
 type healthState int
 
@@ -11,14 +15,19 @@
 )
 
 const (
-	recentOutcomes  = 20
-	failuresInRow   = 5
-	firstBackoffMs  = 1000
-	longestBackoff  = 30_000
-	silentMs        = 2000
-	firstHoldMs     = 50
-	slowFactor      = 3
-	slowOutcomes    = 5
+	recentOutcomes   = 20
+	failuresInRow    = 5
+	firstBackoffMs   = 1000
+	longestBackoffMs = 30_000
+	// silentMs is the silence of a target after which it is probed, and the
+	// period of its probes.
+	silentMs = 2000
+	// firstHoldMs is about the time in which a restarted process listens again.
+	firstHoldMs  = 50
+	slowFactor   = 3
+	slowOutcomes = 5
+	// slowForgottenMs is when a slow target is tried again. Used last, it may
+	// get no work that would show it to have recovered.
 	slowForgottenMs = 10_000
 )
 
@@ -48,13 +57,7 @@
 	return o == messenger.GrantFailed || o == messenger.GrantLost || o == messenger.GrantUnreachable
 }
 
-func (h *health) failures() int {
-	n := 0
-	for i := 0; i < h.recentCount; i++ {
-		n += int(h.recent >> i & 1)
-	}
-	return n
-}
+func (h *health) failures() int { return bits.OnesCount32(h.recent) }
 
 func (h *health) record(failed bool) {
 	h.recent = h.recent << 1 & (1<<recentOutcomes - 1)
@@ -146,7 +149,7 @@
 	if t.state == ready && !svc.mayEject() {
 		return
 	}
-	t.backoffMs = min(max(2*t.backoffMs, firstBackoffMs), longestBackoff)
+	t.backoffMs = min(max(2*t.backoffMs, firstBackoffMs), longestBackoffMs)
 	t.state, t.until, t.inRow = ejected, s.now+t.backoffMs*ms, 0
 	s.count("target", "ejected")
 	svc.recount()
--- /dev/null
+++ b/entry/broker/model_test.go
@@ -0,0 +1,319 @@
+package broker
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/godwitrelay/godwitrelay/core/messenger"
+)
+
+// task names one task of a job.
+type task struct {
+	job string
+	n   int
+}
+
+// liveGrant is a grant as the model knows it.
+type liveGrant struct {
+	messenger.Grant
+	owner *entry
+	team  string
+	bulk  bool
+	at    time.Time
+}
+
+// entry is the model of one entry process: what it asked for and holds.
+type entry struct {
+	member   messenger.Member
+	alive    bool
+	sequence uint64
+	jobs     []*entryJob
+	held     []messenger.Grant
+	unused   []messenger.Release
+	last     *messenger.SlotsRequest
+	delayed  *messenger.SlotsRequest
+	delay    bool
+	lose     bool
+	needFull bool
+
+	// What the broker must know of the entry.
+	heard      uint64
+	registered bool
+}
+
+type entryJob struct {
+	messenger.SlotRequest
+	waiting  []int
+	refused  bool
+	canceled bool
+}
+
+// world runs a broker against models of entries and targets and checks the
+// invariants after every event.
+type world struct {
+	broker  *State
+	at      time.Time
+	entries []*entry
+	vms     []messenger.VM
+	down    map[string]bool
+	live    map[task]liveGrant
+	ended   map[string]bool
+	jobs    int
+	log     [][]Cmd
+	faults  []string
+}
+
+func newWorld(settings Settings) *world {
+	w := &world{broker: New(self, settings), at: epoch, down: map[string]bool{}, live: map[task]liveGrant{}, ended: map[string]bool{}}
+	c := testConfiguration()
+	service := c.Services["orders"]
+	service.Slots = 9
+	c.Services["orders"] = service
+	blue := c.Teams["blue"]
+	blue.Slots = 4
+	c.Teams["blue"] = blue
+	for i := range 3 {
+		m := messenger.Member{Address: fmt.Sprintf("127.0.0.1:%d", i+1), Incarnation: uint64(11 * (i + 1))}
+		w.entries = append(w.entries, &entry{member: m, alive: true})
+	}
+	w.vms = testTargets(5, 2)
+	w.vms[4].MemoryMB = 4000
+	w.update(Configure{Configuration: c, Domain: "a"})
+	w.update(Targets{VMs: w.vms})
+	w.assign(true)
+	return w
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+func (w *world) assign(service bool) {
+	m := Assign{}
+	if service {
+		m.Services = []string{"orders"}
+	} else {
+		w.live = map[task]liveGrant{}
+	}
+	for _, e := range w.entries {
+		if e.alive {
+			m.Members = append(m.Members, e.member)
+		} else {
+			e.registered = false
+		}
+	}
+	w.update(m)
+	for _, e := range w.entries {
+		e.needFull = e.needFull || service && e.alive
+	}
+}
+
+// update passes a message to the broker and delivers what it sends.
+func (w *world) update(m Msg) {
+	cmds := w.broker.Update(w.at, m)
+	w.log = append(w.log, cmds)
+	if _, ok := m.(Tick); ok {
+		for k, g := range w.live {
+			if !g.owner.alive && !w.at.Before(g.at.Add(4*time.Second)) {
+				delete(w.live, k)
+			}
+		}
+	}
+	var results []Msg
+	for _, c := range cmds {
+		switch c := c.(type) {
+		case Send:
+			if w.deliver(c) {
+				results = append(results, Undelivered{To: c.To})
+			}
+		case Probe:
+			results = append(results, Probed{Target: c.Target, Failed: w.down[c.Target], Status: messenger.TargetStatus{Slots: 2}})
+		}
+	}
+	w.checkInUse()
+	for _, m := range results {
+		w.update(m)
+	}
+}
+
+// deliver passes what the broker sent to the entry, and reports whether it was
+// lost on the way to a live one.
+func (w *world) deliver(c Send) bool {
+	e := w.entries[slices.IndexFunc(w.entries, func(e *entry) bool { return e.member == c.To })]
+	for _, g := range c.Grants {
+		w.checkGrant(e, g)
+	}
+	if !e.alive || e.lose {
+		e.lose = false
+		return e.alive
+	}
+	e.needFull = e.needFull || c.NeedFull
+	for _, r := range c.Refusals {
+		w.ended[r.JobID] = true
+		for _, j := range e.jobs {
+			if j.JobID == r.JobID {
+				j.refused, j.waiting = true, nil
+			}
+		}
+	}
+	for _, g := range c.Grants {
+		j := e.job(g.JobID)
+		i := -1
+		if j != nil {
+			i = slices.Index(j.waiting, g.Task)
+		}
+		if i < 0 {
+			e.unused = append(e.unused, messenger.Release{Grant: g, Outcome: messenger.GrantUnused})
+			continue
+		}
+		j.waiting = slices.Delete(j.waiting, i, i+1)
+		e.held = append(e.held, g)
+	}
+	return false
+}
+
+func (e *entry) job(id string) *entryJob {
+	for _, j := range e.jobs {
+		if j.JobID == id {
+			return j
+		}
+	}
+	return nil
+}
+
+// checkGrant checks the invariants that hold when a grant is given.
+func (w *world) checkGrant(e *entry, g messenger.Grant) {
+	key := task{g.JobID, g.Task}
+	j := e.job(g.JobID)
+	if j == nil {
+		w.fault("grant %v for a job that the entry does not have", g)
+		return
+	}
+	if old, ok := w.live[key]; ok {
+		w.fault("grants %v and %v for one task", old.Grant, g)
+	}
+	if w.ended[g.JobID] {
+		w.fault("grant %v for a refused or cancelled job", g)
+	}
+	w.live[key] = liveGrant{Grant: g, owner: e, team: j.Team, bulk: j.RequestType == "batch", at: w.at}
+	var all, onTarget, blue, bulkUse, slots int
+	for _, l := range w.live {
+		all++
+		onTarget += count(l.Target == g.Target)
+		blue += count(l.team == "blue")
+		bulkUse += count(l.bulk)
+	}
+	for _, t := range w.broker.Services()[0].Targets {
+		usable := t.State == "ready" || t.State == "trial"
+		if usable {
+			slots += t.Slots
+		}
+		if t.Address == g.Target && !usable {
+			w.fault("grant %v to a target that is %s", g, t.State)
+		}
+	}
+	vm := w.vms[slices.IndexFunc(w.vms, func(v messenger.VM) bool { return v.Address == g.Target })]
+	if vm.Leaving || vm.MemoryMB < j.DeclaredMemoryMB {
+		w.fault("grant %v to %v for a job of %d MB", g, vm, j.DeclaredMemoryMB)
+	}
+	bulkLimit := max(1, min(9, slots)*90/100)
+	if onTarget > 2 || all > 9 || blue > 4 && j.Team == "blue" || bulkUse > bulkLimit && j.RequestType == "batch" {
+		w.fault("grant %v: %d on the target, %d in all, %d of team blue, %d of %d for bulk", g, onTarget, all, blue, bulkUse, bulkLimit)
+	}
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// checkInUse checks that the broker counts exactly the live grants.
+func (w *world) checkInUse() {
+	if len(w.broker.Services()) == 0 {
+		return
+	}
+	state := w.broker.Services()[0]
+	if state.InUse != len(w.live) {
+		w.fault("the service uses %d slots, %d grants are live", state.InUse, len(w.live))
+	}
+	for _, t := range state.Targets {
+		n := 0
+		for _, g := range w.live {
+			n += count(g.Target == t.Address)
+		}
+		if n != t.InUse {
+			w.fault("target %s uses %d slots, %d grants are live", t.Address, t.InUse, n)
+		}
+	}
+}
+
+// send passes a message of the entry to the broker, unless it is delayed.
+func (w *world) send(e *entry, r messenger.SlotsRequest) {
+	e.sequence++
+	r.From, r.Sequence = e.member, e.sequence
+	r.Releases = append(r.Releases, e.unused...)
+	e.unused = nil
+	if e.delay && e.delayed == nil && !r.Full {
+		e.delayed, e.delay = &r, false
+		return
+	}
+	w.pass(e, r)
+	if d := e.delayed; d != nil {
+		e.delayed = nil
+		w.pass(e, *d)
+	}
+}
+
+// pass hands the message to the broker, after the model took what the broker
+// has to take from it.
+func (w *world) pass(e *entry, r messenger.SlotsRequest) {
+	e.last = &r
+	if r.Sequence > e.heard && (e.registered || r.Full) {
+		e.heard = r.Sequence
+		for _, rel := range r.Releases {
+			if k := (task{rel.Grant.JobID, rel.Grant.Task}); w.live[k].ID == rel.Grant.ID {
+				delete(w.live, k)
+			}
+		}
+		if r.Full {
+			e.registered = true
+			w.replace(e, r.Held)
+		}
+	}
+	w.update(Slots{r})
+}
+
+func (w *world) replace(e *entry, held []messenger.HeldGrant) {
+	for k, g := range w.live {
+		if g.owner == e {
+			delete(w.live, k)
+		}
+	}
+	if len(w.broker.Services()) == 0 {
+		return
+	}
+	for _, h := range held {
+		w.live[task{h.Grant.JobID, h.Grant.Task}] = liveGrant{Grant: h.Grant, owner: e, team: h.Team, bulk: h.Priority == messenger.Bulk, at: w.at}
+	}
+}
+
+// register sends a registration in full.
+func (w *world) register(e *entry) {
+	e.needFull = false
+	r := messenger.SlotsRequest{Full: true}
+	for _, g := range e.held {
+		j := e.job(g.JobID)
+		r.Held = append(r.Held, messenger.HeldGrant{Grant: g, Team: j.Team, RequestType: j.RequestType, Priority: j.Priority, DeclaredMemoryMB: j.DeclaredMemoryMB, DeadlineInMs: j.DeadlineInMs})
+	}
+	for _, j := range e.jobs {
+		if len(j.waiting) > 0 {
+			q := j.SlotRequest
+			q.Tasks, q.Admitted = slices.Clone(j.waiting), true
+			r.Requests = append(r.Requests, q)
+		}
+	}
+	w.send(e, r)
+}
--- /dev/null
+++ b/entry/broker/property_test.go
@@ -0,0 +1,197 @@
+package broker
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/godwitrelay/godwitrelay/core/messenger"
+)
+
+// step is one generated event: the low bits choose the kind, the others its
+// arguments.
+type step uint32
+
+var outcomes = []messenger.GrantOutcome{
+	messenger.GrantDone, messenger.GrantDone, messenger.GrantFailed, messenger.GrantLost, messenger.GrantUnreachable,
+	messenger.GrantBusy, messenger.GrantLeaving, messenger.GrantUnused,
+}
+
+func (w *world) step(s step) {
+	kind, a, b, c := s%20, int(s>>5%64), int(s>>11%64), int(s>>17%64)
+	e := w.entries[a%len(w.entries)]
+	vm := &w.vms[b%len(w.vms)]
+	switch {
+	case kind < 5:
+		w.submit(e, b, c)
+	case kind < 11:
+		w.finish(e, b, outcomes[c%len(outcomes)])
+	case kind == 11:
+		w.cancel(e, b)
+	case kind == 12:
+		e.needFull = true
+	case kind == 13 && e.last != nil && e.alive:
+		w.pass(e, *e.last)
+	case kind == 14:
+		e.delay, e.lose = b%2 == 0, b%2 == 1
+	case kind == 15 && a%len(w.entries) != 0:
+		e.alive = !e.alive
+		w.assign(true)
+	case kind == 16:
+		if c%2 == 0 {
+			vm.Leaving = !vm.Leaving
+			w.update(Targets{VMs: slices.Clone(w.vms)})
+		} else {
+			w.down[vm.Address] = !w.down[vm.Address]
+		}
+	case kind == 17 && c%4 == 0:
+		w.assign(false)
+		w.assign(true)
+	default:
+		w.at = w.at.Add(time.Duration(20+b*10) * time.Millisecond)
+		w.update(Tick{})
+	}
+	w.registerAsked()
+}
+
+func (w *world) registerAsked() {
+	for range 5 {
+		for _, e := range w.entries {
+			if e.alive && e.needFull {
+				w.register(e)
+			}
+		}
+	}
+}
+
+func (w *world) submit(e *entry, b, c int) {
+	if !e.alive {
+		return
+	}
+	w.jobs++
+	r := testRequest(fmt.Sprint("job", w.jobs), []string{"check", "batch"}[b%2], 1+c%5)
+	r.Team = []string{"red", "blue"}[b>>1%2]
+	r.DeadlineInMs = int64(500 + 300*(c%40))
+	if b%8 == 7 {
+		r.DeclaredMemoryMB = 2000
+	}
+	if b%2 == 1 {
+		r.Priority = messenger.Bulk
+	}
+	e.jobs = append(e.jobs, &entryJob{SlotRequest: r, waiting: slices.Clone(r.Tasks)})
+	w.send(e, messenger.SlotsRequest{Requests: []messenger.SlotRequest{r}})
+}
+
+func (w *world) finish(e *entry, b int, outcome messenger.GrantOutcome) {
+	if !e.alive || len(e.held) == 0 {
+		return
+	}
+	i := b % len(e.held)
+	g := e.held[i]
+	e.held = slices.Delete(e.held, i, i+1)
+	j := e.job(g.JobID)
+	if w.down[g.Target] {
+		outcome = messenger.GrantUnreachable
+	}
+	r := messenger.Release{Grant: g, Team: j.Team, RequestType: j.RequestType, Outcome: outcome, RunMs: int64(50 + b)}
+	r.Requeue = !startedOutcome(outcome) && !j.refused && !j.canceled
+	if r.Requeue {
+		j.waiting = append(j.waiting, g.Task)
+	}
+	if outcome == messenger.GrantBusy {
+		r.Status = &messenger.TargetStatus{Slots: 2, InFlight: 2}
+	}
+	w.send(e, messenger.SlotsRequest{Releases: []messenger.Release{r}})
+}
+
+func (w *world) cancel(e *entry, b int) {
+	if !e.alive || len(e.jobs) == 0 {
+		return
+	}
+	j := e.jobs[b%len(e.jobs)]
+	j.canceled, j.waiting = true, nil
+	delayed := e.delayed != nil || e.delay
+	w.send(e, messenger.SlotsRequest{Cancels: []string{j.JobID}})
+	if !delayed && e.registered {
+		w.ended[j.JobID] = true
+	}
+}
+
+// drain lets everything finish and checks that nothing was lost.
+func (w *world) drain() {
+	clear(w.down)
+	for i := range w.vms {
+		w.vms[i].Leaving = false
+	}
+	for _, e := range w.entries {
+		e.delay, e.lose = false, false
+		w.send(e, messenger.SlotsRequest{Full: false})
+	}
+	w.update(Targets{VMs: w.vms})
+	for range 300 {
+		w.registerAsked()
+		for _, e := range w.entries {
+			for e.alive && len(e.held) > 0 {
+				w.finish(e, 0, messenger.GrantDone)
+			}
+		}
+		w.at = w.at.Add(200 * time.Millisecond)
+		w.update(Tick{})
+	}
+	state := w.broker.Services()[0]
+	if state.InUse+state.Waiting != 0 {
+		w.fault("%d slots in use and %d tasks waiting at the end", state.InUse, state.Waiting)
+	}
+	for _, e := range w.entries {
+		for _, j := range e.jobs {
+			if e.alive && len(j.waiting) > 0 {
+				w.fault("tasks %v of job %s were lost", j.waiting, j.JobID)
+			}
+		}
+	}
+	if n := len(w.broker.jobs) + len(w.broker.grants); n != 0 {
+		w.fault("%d jobs and grants remain at the end", n)
+	}
+}
+
+// TestInvariants guards against slots counted wrongly, tasks granted twice or
+// not at all, and grants that break a limit, whatever the order of events.
+func TestInvariants(t *testing.T) {
+	for _, settings := range []Settings{{}, {Order: "fifo"}, {Routing: "twoChoices"}, {Routing: "leastInFlight"}, {Routing: "random"}} {
+		t.Run(settings.Order+settings.Routing, func(t *testing.T) {
+			parameters := gopter.DefaultTestParametersWithSeed(7)
+			parameters.MinSuccessfulTests = 400
+			parameters.MaxSize = 300
+			parameters.MaxShrinkCount = 100
+			properties := gopter.NewProperties(parameters)
+			properties.Property("hold after every event", prop.ForAll(func(steps []uint32) (string, error) {
+				w := run(settings, steps)
+				if len(w.faults) > 0 {
+					return w.faults[0], nil
+				}
+				if again := run(settings, steps); !reflect.DeepEqual(w.log, again.log) {
+					return "a repeated run differs", nil
+				}
+				return "", nil
+			}, gen.SliceOf(gen.UInt32())))
+			properties.TestingRun(t)
+		})
+	}
+}
+
+func run(settings Settings, steps []uint32) *world {
+	w := newWorld(settings)
+	for _, s := range steps {
+		if w.step(step(s)); len(w.faults) > 0 {
+			return w
+		}
+	}
+	w.drain()
+	return w
+}
--- a/entry/broker/registration.go
+++ b/entry/broker/registration.go
@@ -114,6 +114,10 @@
 		j = s.newJob(p, svc, h.Grant.JobID, h.Team, h.RequestType, classOf(h.Priority))
 		j.taskMs = j.kind.runMs(0)
 		j.reservedMs = svc.reservation(j.taskMs)
+		j.memoryMB = h.DeclaredMemoryMB
+		if h.DeadlineInMs > 0 {
+			j.deadline = s.now + h.DeadlineInMs*ms
+		}
 	}
 	if j.owner != p || j.service != svc {
 		return
@@ -142,6 +146,10 @@
 func (s *State) dropMembers() {
 	for _, p := range s.sortedPeers() {
 		if s.members[p.member] {
+			// A member that came back has no cause to send by itself.
+			if !p.registered {
+				s.needFull(p)
+			}
 			continue
 		}
 		s.dropJobs(p)
--- a/entry/broker/target.go
+++ b/entry/broker/target.go
@@ -187,6 +187,8 @@
 	before := t.limit()
 	if status.Slots > 0 {
 		t.slots, t.ownSlots = status.Slots, true
+	}
+	if status.MemoryMB > 0 {
 		svc.setMemory(t, status.MemoryMB)
 	}
 	t.ownLeaving = status.Leaving
