--- /dev/null
+++ b/load/capacity.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/godwitrelay/godwitrelay/core/loader"
+	"github.com/godwitrelay/godwitrelay/load/prober"
+)
+
+const capacityDescription = `Measures one entry process and fits slopes by least squares. The entry's targets
+must obey the payload's runMs, as godwit-target does. With --merge, joins the
+result files given as arguments, for sizes that need another process each.
+
+Settings file (JSON with comments; leave out what is not to be measured):
+  {
+    "entry": "127.0.0.1:7000", "metrics": "127.0.0.1:7200", "mix": "namta", "slots": 400,
+    "starts": {"tasksPerS": [500, 1000, 2000], "tasksPerJob": [1, 10], "stepMs": 5000},
+    "waiting": {"tasks": [5000, 10000, 20000], "tasksPerJob": [1, 100], "holdMs": 20000},
+    "idle": {"dimension": "targets", "size": 50, "forMs": 10000}
+  }`
+
+func capacityCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:        "capacity",
+		Usage:       "measure CPU time per start and memory per waiting task of one entry",
+		UsageText:   "godwit-load capacity --settings FILE [--out FILE]\ngodwit-load capacity --merge [--out FILE] RESULT...",
+		Description: capacityDescription,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "read settings from `FILE`"},
+			&cli.BoolFlag{Name: "merge", Usage: "join result files and fit their series anew"},
+			&cli.StringFlag{Name: "out", Usage: "write the result to `FILE` instead of standard output"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			report, err := capacity(ctx, c)
+			if err != nil {
+				return err
+			}
+			return writeResult(out, c.String("out"), report)
+		},
+	}
+}
+
+func capacity(ctx context.Context, c *cli.Command) (prober.Report, error) {
+	if c.Bool("merge") {
+		return mergeReports(c.Args().Slice())
+	}
+	var s prober.Settings
+	if c.String("settings") == "" {
+		return prober.Report{}, errors.New("--settings or --merge is missing")
+	}
+	if err := loader.Load(c.String("settings"), &s); err != nil {
+		return prober.Report{}, err
+	}
+	return prober.Run(ctx, s)
+}
+
+func mergeReports(paths []string) (prober.Report, error) {
+	if len(paths) == 0 {
+		return prober.Report{}, errors.New("no result files to merge")
+	}
+	var reports []prober.Report
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return prober.Report{}, errors.Wrap(err, "reading a result")
+		}
+		var r prober.Report
+		if err := json.Unmarshal(data, &r); err != nil {
+			return prober.Report{}, errors.Wrapf(err, "reading %s", path)
+		}
+		reports = append(reports, r)
+	}
+	return prober.Merge(reports), nil
+}
--- a/load/main.go
+++ b/load/main.go
@@ -44,6 +44,7 @@
 			runCommand(out),
 			compareCommand(out),
 			plotCommand(),
+			capacityCommand(out),
 		},
 	}
 }
