--- a/entry/dispatcher/link.go
+++ b/entry/dispatcher/link.go
@@ -20,6 +20,8 @@
 	team        string
 	requestType string
 	priority    messenger.Priority
+	memoryMB    int64
+	deadline    time.Time
 	since       time.Time
 }
 
@@ -138,7 +140,8 @@
 		if s.brokerOf(h.grant.Service) == l.to {
 			req.Held = append(req.Held, messenger.HeldGrant{
 				Grant: h.grant, Team: h.team, RequestType: h.requestType, Priority: h.priority,
-				RanMs: now.Sub(h.since).Milliseconds(),
+				RanMs:            now.Sub(h.since).Milliseconds(),
+				DeclaredMemoryMB: h.memoryMB, DeadlineInMs: h.deadline.Sub(now).Milliseconds(),
 			})
 		}
 	}
--- a/entry/dispatcher/task.go
+++ b/entry/dispatcher/task.go
@@ -59,6 +59,7 @@
 	j.Started++
 	s.held[taskKey{g.JobID, g.Task}] = heldTask{
 		grant: g, team: j.Team, requestType: j.RequestType, priority: j.Priority, since: now,
+		memoryMB: j.Hints.DeclaredMemoryMB, deadline: j.Deadline,
 	}
 	left := j.Deadline.Sub(now)
 	s.emit(Count{Group: "message", Reason: "start"})
