Ask for a registration when an unknown grant is to be requeued

Cause: with late messages in the generated lists, a registration could cross a grant: the entry used the old grant, returned the new one as unused, and the task of a busy reply was queued by nobody. A job that was registered by its held grants forgot that it had been refused.

Change: such a release asks the sender to register, and a registration looks up refusals for held grants too.

--- a/entry/broker/grant.go
+++ b/entry/broker/grant.go
@@ -98,6 +98,11 @@
 	}
 	g := s.grants[grantKey{r.Grant.JobID, r.Grant.Task}]
 	live := g != nil && g.id == r.Grant.ID && g.job.owner == p
+	if g == nil && r.Requeue && !s.waits(r.Grant.JobID, r.Grant.Task) {
+		// The grant was replaced by a registration that crossed it. Only
+		// another registration tells what the job still needs.
+		s.needFull(p)
+	}
 	if !live && svc.targets[r.Grant.Target] == nil {
 		return
 	}
@@ -116,6 +121,13 @@
 	svc.refresh(t)
 }
 
+// waits reports whether the task is in the queue.
+func (s *State) waits(id string, task int) bool {
+	j := s.jobs[id]
+	return j != nil && (slices.Contains(j.tasks, task) ||
+		slices.ContainsFunc(j.retries, func(r retry) bool { return r.task == task }))
+}
+
 // settle frees a live grant, and queues its task again if asked to.
 func (s *State) settle(g *grant, r *messenger.Release) {
 	j, t := g.job, g.target
--- a/entry/broker/model_test.go
+++ b/entry/broker/model_test.go
@@ -35,6 +35,9 @@
 	delayed  *messenger.SlotsRequest
 	delay    bool
 	lose     bool
+	// slow keeps what the broker sends in late until it is set back.
+	slow     bool
+	late     []lateSend
 	needFull bool
 
 	// What the broker must know of the entry.
@@ -42,6 +45,11 @@
 	registered bool
 }
 
+type lateSend struct {
+	Send
+	at time.Time
+}
+
 type entryJob struct {
 	messenger.SlotRequest
 	waiting  []int
@@ -58,14 +66,14 @@
 	vms     []messenger.VM
 	down    map[string]bool
 	live    map[task]liveGrant
-	ended   map[string]bool
+	ended   map[string]time.Time
 	jobs    int
 	log     [][]Cmd
 	faults  []string
 }
 
 func newWorld(settings Settings) *world {
-	w := &world{broker: New(self, settings), at: epoch, down: map[string]bool{}, live: map[task]liveGrant{}, ended: map[string]bool{}}
+	w := &world{broker: New(self, settings), at: epoch, down: map[string]bool{}, live: map[task]liveGrant{}, ended: map[string]time.Time{}}
 	c := testConfiguration()
 	service := c.Services["orders"]
 	service.Slots = 9
@@ -144,13 +152,36 @@
 	for _, g := range c.Grants {
 		w.checkGrant(e, g)
 	}
+	for _, r := range c.Refusals {
+		w.end(r.JobID, tombstoneMs)
+	}
+	if e.alive && e.slow {
+		e.late = append(e.late, lateSend{c, w.at})
+		return false
+	}
 	if !e.alive || e.lose {
 		e.lose = false
 		return e.alive
 	}
+	w.receive(e, c)
+	return false
+}
+
+// end forbids grants for the job from now on, for the time given.
+func (w *world) end(job string, forMs int64) {
+	if until := w.at.Add(time.Duration(forMs) * time.Millisecond); until.After(w.ended[job]) {
+		w.ended[job] = until
+	}
+}
+
+// forever is longer than any run of the model.
+const forever = int64(1 << 40)
+
+// receive lets the entry take what the broker sent.
+func (w *world) receive(e *entry, c Send) {
 	e.needFull = e.needFull || c.NeedFull
 	for _, r := range c.Refusals {
-		w.ended[r.JobID] = true
+		w.end(r.JobID, forever)
 		for _, j := range e.jobs {
 			if j.JobID == r.JobID {
 				j.refused, j.waiting = true, nil
@@ -170,7 +201,6 @@
 		j.waiting = slices.Delete(j.waiting, i, i+1)
 		e.held = append(e.held, g)
 	}
-	return false
 }
 
 func (e *entry) job(id string) *entryJob {
@@ -193,7 +223,7 @@
 	if old, ok := w.live[key]; ok {
 		w.fault("grants %v and %v for one task", old.Grant, g)
 	}
-	if w.ended[g.JobID] {
+	if w.at.Before(w.ended[g.JobID]) {
 		w.fault("grant %v for a refused or cancelled job", g)
 	}
 	w.live[key] = liveGrant{Grant: g, owner: e, team: j.Team, bulk: j.RequestType == "batch", at: w.at}
--- a/entry/broker/property_test.go
+++ b/entry/broker/property_test.go
@@ -39,7 +39,10 @@
 	case kind == 13 && e.last != nil && e.alive:
 		w.pass(e, *e.last)
 	case kind == 14:
-		e.delay, e.lose = b%2 == 0, b%2 == 1
+		e.delay, e.lose, e.slow = b%4 == 0, b%4 == 1, b%4 >= 2
+		if !e.slow {
+			w.catchUp(e)
+		}
 	case kind == 15 && a%len(w.entries) != 0:
 		e.alive = !e.alive
 		w.assign(true)
@@ -60,6 +63,21 @@
 	w.registerAsked()
 }
 
+// catchUp lets the entry receive what was late. What took as long as a refusal
+// is remembered counts as lost, as after a timeout.
+func (w *world) catchUp(e *entry) {
+	e.slow = false
+	late := e.late
+	e.late = nil
+	for _, c := range late {
+		if w.at.Sub(c.at).Milliseconds() < tombstoneMs {
+			w.receive(e, c.Send)
+		} else {
+			w.update(Undelivered{To: e.member})
+		}
+	}
+}
+
 func (w *world) registerAsked() {
 	for range 5 {
 		for _, e := range w.entries {
@@ -119,7 +137,7 @@
 	delayed := e.delayed != nil || e.delay
 	w.send(e, messenger.SlotsRequest{Cancels: []string{j.JobID}})
 	if !delayed && e.registered {
-		w.ended[j.JobID] = true
+		w.end(j.JobID, forever)
 	}
 }
 
@@ -131,6 +149,7 @@
 	}
 	for _, e := range w.entries {
 		e.delay, e.lose = false, false
+		w.catchUp(e)
 		w.send(e, messenger.SlotsRequest{Full: false})
 	}
 	w.update(Targets{VMs: w.vms})
--- a/entry/broker/registration.go
+++ b/entry/broker/registration.go
@@ -115,6 +115,7 @@
 		j.taskMs = j.kind.runMs(0)
 		j.reservedMs = svc.reservation(j.taskMs)
 		j.memoryMB = h.DeclaredMemoryMB
+		_, j.ended = s.refused.until[j.id]
 		if h.DeadlineInMs > 0 {
 			j.deadline = s.now + h.DeadlineInMs*ms
 		}
