load: keep the message counters of entries that die during a run

A killed entry's messages were missing while the tasks that it finished were counted, which understated messages per task. The entries' counters are now read every second, and the last reading stands in for an entry that no longer answers; the result names it.

--- a/load/driver/driver.go
+++ b/load/driver/driver.go
@@ -22,6 +22,9 @@
 const (
 	idleConnections = 1024
 	dialTimeout     = 2 * time.Second
+	// watchPeriod bounds the messages that are lost with an entry that dies,
+	// and costs an entry one scrape a second.
+	watchPeriod = time.Second
 )
 
 // Report is the result of one run: one mode in one round.
@@ -110,19 +113,35 @@
 	pool.Prefetch(ctx)
 	scrape := scraper.New(client, s.Metrics, s.TargetControls)
 	before := scrape.Read(ctx)
+	stopWatch := watch(ctx, scrape)
 	loop.Submitter = pool
 	loop.Run(ctx, generator.New(workload))
+	last := stopWatch()
 	totals := pool.Totals()
 	for _, text := range totals.Violations {
 		m.Violation(text)
 	}
 	report.Figures, report.Sent, report.Repeats = m.Figures(), totals.Messages, totals.Repeats
 	if len(s.Metrics) > 0 {
-		report.Messages = scraper.Compare(before, scrape.Read(ctx), report.Figures.FinishedTasks)
+		after, partial := scrape.Read(ctx).Complete(last)
+		report.Messages = scraper.Compare(before, after, report.Figures.FinishedTasks)
+		report.Messages.Partial = partial
 	}
 	return report
 }
 
+// watch begins to read the counters of entries from time to time. The returned
+// function ends it and returns the last reading of each entry.
+func watch(ctx context.Context, s *scraper.Scraper) func() scraper.Sample {
+	ctx, cancel := context.WithCancel(ctx)
+	last := make(chan scraper.Sample, 1)
+	go func() { last <- s.Watch(ctx, watchPeriod) }()
+	return func() scraper.Sample {
+		cancel()
+		return <-last
+	}
+}
+
 func newPool(s Settings, transport http.RoundTripper, history *os.File) *caller.Pool {
 	settings := caller.PoolSettings{
 		Transport: transport, Entries: s.Entries, Sessions: int(s.Sessions), Batch: int(s.IDBatch),
--- a/load/scraper/scraper.go
+++ b/load/scraper/scraper.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -65,7 +66,7 @@
 	for _, address := range s.entries {
 		families, err := Metrics(ctx, s.client, address)
 		if err != nil {
-			log.Warnf("entry %s: %v", address, err)
+			log.Debugf("entry %s: %v", address, err)
 			continue
 		}
 		out.messages[address] = byLabel(families[messagesTotal], messagesLabel)
@@ -74,7 +75,7 @@
 	for _, address := range s.controls {
 		totals, starts, err := s.control(ctx, address)
 		if err != nil {
-			log.Warnf("target %s: %v", address, err)
+			log.Debugf("target %s: %v", address, err)
 			continue
 		}
 		out.targets[address], out.starts[address] = totals, starts
@@ -82,6 +83,39 @@
 	return out
 }
 
+// Watch reads the entries every period until ctx ends, and returns the last
+// reading of each. It keeps most counters of an entry that dies during a run.
+func (s *Scraper) Watch(ctx context.Context, period time.Duration) Sample {
+	last := Sample{messages: map[string]map[string]float64{}, wasted: map[string]map[string]float64{}}
+	entries := New(s.client, s.entries, nil)
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return last
+		case <-ticker.C:
+			now := entries.Read(ctx)
+			maps.Copy(last.messages, now.messages)
+			maps.Copy(last.wasted, now.wasted)
+		}
+	}
+}
+
+// Complete returns s with the counters of entries that it lacks taken from an
+// earlier reading, and the addresses of these entries.
+func (s Sample) Complete(earlier Sample) (Sample, []string) {
+	var partial []string
+	for address, counters := range earlier.messages {
+		if _, ok := s.messages[address]; !ok {
+			s.messages[address], s.wasted[address] = counters, earlier.wasted[address]
+			partial = append(partial, address)
+		}
+	}
+	slices.Sort(partial)
+	return s, partial
+}
+
 // Metrics reads GET /metrics of the process at address.
 func Metrics(ctx context.Context, c messenger.Client, address string) (map[string]*dto.MetricFamily, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -161,7 +195,8 @@
 
 // Account is what a run cost in messages. Missing lists processes whose
 // counters could not be read both before and after the run; their messages are
-// not contained.
+// not contained. Partial lists entries that died during the run; their messages
+// are contained up to the last reading before.
 type Account struct {
 	Messages        map[string]float64 `json:"messages"`
 	Wasted          map[string]float64 `json:"wasted"`
@@ -173,6 +208,7 @@
 	MessagesPerTask float64            `json:"messagesPerTask"`
 	WastedPerTask   float64            `json:"wastedPerTask"`
 	Missing         []string           `json:"missing,omitempty"`
+	Partial         []string           `json:"partial,omitempty"`
 }
 
 // Compare returns the difference of two samples for a run that finished the
--- a/load/scraper/scraper_test.go
+++ b/load/scraper/scraper_test.go
@@ -5,6 +5,21 @@
 	"testing"
 )
 
+// Guards against losing the messages of an entry that died during a run, and
+// against old counters in place of the last ones of a live entry.
+func TestComplete(t *testing.T) {
+	type counters = map[string]map[string]float64
+	last := Sample{
+		messages: counters{"dead": {"start": 7}, "live": {"start": 1}},
+		wasted:   counters{"dead": {"busy": 2}, "live": {}},
+	}
+	after, partial := Sample{messages: counters{"live": {"start": 5}}, wasted: counters{"live": {}}}.Complete(last)
+	if !reflect.DeepEqual(partial, []string{"dead"}) || after.messages["live"]["start"] != 5 ||
+		after.messages["dead"]["start"] != 7 || after.wasted["dead"]["busy"] != 2 {
+		t.Errorf("partial %v, sample %+v", partial, after)
+	}
+}
+
 // Guards against counting the messages of processes that were read only once,
 // and against a difference over the wrong run.
 func TestCompare(t *testing.T) {
