load: conditions of bursts, cancellation waves and resubmissions

These are part of the workload and not of any process, so that a condition of a bench may now set them.

--- a/load/comparer/bench.go
+++ b/load/comparer/bench.go
@@ -9,6 +9,7 @@
 
 	"github.com/godwitrelay/godwitrelay/core/loader"
 	"github.com/godwitrelay/godwitrelay/load/driver"
+	"github.com/godwitrelay/godwitrelay/load/generator"
 )
 
 // minRounds is the smallest number of rounds whose median and spread say
@@ -38,8 +39,8 @@
 	Settings json.RawMessage `json:"settings,omitempty"`
 }
 
-// Condition is what a run takes place under. LoadPercent 0 means that of the
-// shared settings. Before, During and After are requests to control endpoints;
+// Condition is what a run takes place under. What of the workload it leaves out
+// is that of the shared settings. Before, During and After are requests to control endpoints;
 // After is sent even if the run fails.
 type Condition struct {
 	Name        string  `json:"name"`
@@ -47,6 +48,10 @@
 	Before      []Step  `json:"before,omitempty"`
 	During      []Step  `json:"during,omitempty"`
 	After       []Step  `json:"after,omitempty"`
+
+	Bursts          *generator.Bursts        `json:"bursts,omitempty"`
+	Cancellations   *generator.Cancellations `json:"cancellations,omitempty"`
+	ResubmitPercent *float64                 `json:"resubmitPercent,omitempty"`
 }
 
 // Step is one request: POST of Body to Path (default /control) of the process
@@ -113,10 +118,30 @@
 	return shared
 }
 
+// apply returns the settings of a run under the condition.
+func (c Condition) apply(s driver.Settings) driver.Settings {
+	if c.LoadPercent != 0 {
+		s.LoadPercent = c.LoadPercent
+	}
+	if c.Bursts != nil {
+		s.Bursts = *c.Bursts
+	}
+	if c.Cancellations != nil {
+		s.Cancellations = *c.Cancellations
+	}
+	if c.ResubmitPercent != nil {
+		s.ResubmitPercent = *c.ResubmitPercent
+	}
+	return s
+}
+
 func (c *Condition) check(field string, f *loader.Faults) {
 	f.Name(field+".name", c.Name)
-	if c.LoadPercent < 0 {
-		f.Add(field+".loadPercent", c.LoadPercent, "0 or more")
+	var own loader.Faults
+	workload := c.apply(driver.Settings{}).Settings
+	workload.Check(&own)
+	if err := own.Err(); err != nil {
+		f.Add(field, err.Error(), "settings of a run")
 	}
 	for name, steps := range map[string][]Step{"before": c.Before, "during": c.During, "after": c.After} {
 		for i := range steps {
--- a/load/comparer/comparer.go
+++ b/load/comparer/comparer.go
@@ -73,11 +73,8 @@
 }
 
 func runOne(ctx context.Context, b Bench, v Variant, c Condition, round int) (int64, error) {
-	settings := v.apply(b.Run)
+	settings := c.apply(v.apply(b.Run))
 	settings.Seed += uint64(round)
-	if c.LoadPercent > 0 {
-		settings.LoadPercent = c.LoadPercent
-	}
 	var f loader.Faults
 	settings.Check(&f)
 	if err := f.Err(); err != nil {
--- a/load/comparer/comparer_test.go
+++ b/load/comparer/comparer_test.go
@@ -63,7 +63,7 @@
 		"variants": [{"name": "a", "mode": "direct"}, {"name": "b", "mode": "direct", "settings": {"routing": "random"}}],
 		"conditions": [
 			{"name": "none"},
-			{"name": "broken", "loadPercent": 200,
+			{"name": "broken", "loadPercent": 200, "resubmitPercent": 5, "cancellations": {"everyMs": 20, "windowMs": 5, "percent": 50},
 			 "before": [{"address": %q, "body": {"step": 1}}],
 			 "during": [{"atMs": 1, "address": %q, "body": {"step": 2}}],
 			 "after": [{"address": %q, "body": {"step": 3}}]},
@@ -131,12 +131,12 @@
 		"rounds": 2,
 		"run": {"mix": "other"},
 		"variants": [{"name": "a"}, {"name": "a", "mode": "sideways"}],
-		"conditions": [{"name": "", "loadPercent": -1, "before": [{"address": "x"}]}],
+		"conditions": [{"name": "", "loadPercent": -1, "bursts": {"everyMs": 1}, "resubmitPercent": 200, "before": [{"address": "x"}]}],
 	}`)
 	if err == nil {
 		t.Fatal("no fault was reported")
 	}
-	for _, field := range []string{"rounds", "out", "variants[0] with run", "mix is", "variants[1].name", "variants[1].mode", "conditions[0].name", "conditions[0].loadPercent", "before[0].address"} {
+	for _, field := range []string{"rounds", "out", "variants[0] with run", "mix is", "variants[1].name", "variants[1].mode", "conditions[0].name", "loadPercent is -1", "bursts is", "resubmitPercent is 200", "before[0].address"} {
 		if !strings.Contains(err.Error(), field) {
 			t.Errorf("no fault of %s in: %v", field, err)
 		}
