--- a/core/follower/snapshot.go
+++ b/core/follower/snapshot.go
@@ -14,6 +14,15 @@
 	// spread their snapshots, so that usually one of them writes it and the
 	// others see it in time.
 	snapshotSpread = 6
+	// urgentSpread is the largest delay when the log has forgotten the last
+	// starting point. Until there is a new one no operator can apply a change
+	// and no VM can start from the log.
+	urgentSpread = 10 * time.Second
+	// snapshotRecords is the number of records after which a starting point is
+	// renewed whatever its age, so that readers without state have little to
+	// read. lengthSpread is the largest delay then.
+	snapshotRecords = 256
+	lengthSpread    = time.Minute
 	// markSpacing is the divisor of the retention time between two remembered
 	// ages of records.
 	markSpacing = 60
@@ -25,10 +34,14 @@
 type start struct {
 	retention time.Duration
 	known     bool
+	forgotten bool
 	from      int64
 	// unknownSince is when the reader first had no starting point to name.
 	unknownSince time.Time
-	marks        []mark
+	// longSince is when the reader first saw snapshotRecords records after the
+	// starting point.
+	longSince time.Time
+	marks     []mark
 }
 
 // mark remembers when the record at offset was written.
@@ -68,13 +81,22 @@
 	if _, ok := s.born(from); !ok {
 		return
 	}
-	s.known, s.from, s.unknownSince = true, from, time.Time{}
+	s.known, s.forgotten, s.from = true, false, from
+	s.unknownSince, s.longSince = time.Time{}, time.Time{}
+}
+
+// measure notes at the time now that the reader folds the offset next as the
+// next one.
+func (s *start) measure(now time.Time, next int64) {
+	if s.known && s.longSince.IsZero() && next-s.from >= snapshotRecords {
+		s.longSince = now
+	}
 }
 
 // forget drops what the log no longer keeps.
 func (s *start) forget(first int64) {
 	if s.known && s.from < first {
-		s.known = false
+		s.known, s.forgotten = false, true
 	}
 	for len(s.marks) > 1 && s.marks[1].offset <= first {
 		s.marks = s.marks[1:]
@@ -98,7 +120,9 @@
 // a sixth of the retention; random, from 0 to 1, picks the delay. It moves on
 // when another reader's snapshot has been folded. A reader that knows of no
 // starting point, because it learned its state from a peer, waits for the delay
-// alone.
+// alone. If the log has forgotten the last one, the delay is at most
+// urgentSpread. After snapshotRecords records it is due early, within
+// lengthSpread.
 //
 // A recent change is no starting point by itself: without what came before it a
 // reader can't tell whether it was accepted.
@@ -106,7 +130,11 @@
 	if s.lost || s.accepted.Version == 0 || s.start.retention <= 0 {
 		return time.Time{}, false
 	}
-	delay := time.Duration(random * float64(s.start.retention/snapshotSpread))
+	spread := s.start.retention / snapshotSpread
+	if s.start.forgotten {
+		spread = min(spread, urgentSpread)
+	}
+	delay := time.Duration(random * float64(spread))
 	if !s.start.known {
 		return s.start.unknownSince.Add(delay), true
 	}
@@ -114,7 +142,15 @@
 	if !ok {
 		return time.Time{}, false
 	}
-	return born.Add(s.start.retention/snapshotAge + delay), true
+	due := born.Add(s.start.retention/snapshotAge + delay)
+	if s.start.longSince.IsZero() {
+		return due, true
+	}
+	long := s.start.longSince.Add(time.Duration(random * float64(min(spread, lengthSpread))))
+	if long.Before(due) {
+		due = long
+	}
+	return due, true
 }
 
 // SnapshotRecord returns the record that publishes the present version.
