entry: put a configuration into force only at the end of the log

Cause: a new entry folds old versions on its way through the log; each came into force for a moment, although a later one was in force everywhere else. Change: a version is shown when the end of the log is reached or a peer has nothing newer; a log without a usable start makes the entry ask a peer; seeds are contacted before the platform answers.

--- a/entry/dispatcher/command.go
+++ b/entry/dispatcher/command.go
@@ -64,8 +64,12 @@
 	Heartbeat messenger.Heartbeat
 }
 
-// ReadLog reads the configuration log. The result comes back as [LogRead].
-type ReadLog struct{ From int64 }
+// ReadLog reads up to Limit records of the configuration log. The result comes
+// back as [LogRead].
+type ReadLog struct {
+	From  int64
+	Limit int
+}
 
 // AppendSnapshot publishes the configuration in force again. The result comes
 // back as [SnapshotAppended].
--- a/entry/dispatcher/identity_test.go
+++ b/entry/dispatcher/identity_test.go
@@ -56,7 +56,7 @@
 		wantError(t, replyTo[messenger.Answer](t, cmds, w), messenger.UnknownTeam, messenger.DidNotRun)
 		configuration := testConfiguration()
 		configuration.Teams["strangers"] = configuration.Teams["restaurants"]
-		accepted := e.s.follower.Present()
+		accepted := e.s.present
 		accepted.Version, accepted.ChangeID, accepted.Configuration = 2, "c2", configuration
 		accepted.ReadThrough = 5
 		e.do(ConfigurationFetched{Accepted: accepted})
--- a/entry/dispatcher/membership.go
+++ b/entry/dispatcher/membership.go
@@ -59,7 +59,7 @@
 		return
 	}
 	own := messenger.Heartbeat{
-		From: s.cfg.Self, FailureDomain: s.cfg.FailureDomain, ConfigVersion: s.follower.Present().Version,
+		From: s.cfg.Self, FailureDomain: s.cfg.FailureDomain, ConfigVersion: s.present.Version,
 	}
 	if msg.Heartbeat.FailureDomain == s.cfg.FailureDomain {
 		own.Members = s.gossiper.Members()
@@ -92,7 +92,7 @@
 	s.brokers = map[string]messenger.Member{}
 	var own []string
 	changed := false
-	for _, service := range sortedKeys(s.follower.Present().Configuration.Services) {
+	for _, service := range sortedKeys(s.present.Configuration.Services) {
 		m := s.brokerOf(service)
 		if !s.ownRouting() {
 			changed = changed || before[service] != m
--- a/entry/dispatcher/platform.go
+++ b/entry/dispatcher/platform.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
@@ -13,19 +14,30 @@
 	if msg.Err != nil {
 		return
 	}
-	local, remote := append([]string(nil), s.cfg.Seeds...), append([]string(nil), s.cfg.RemoteSeeds...)
 	var targets []messenger.VM
 	for _, vm := range msg.List.VMs {
-		switch {
-		case vm.Role == messenger.TargetVM && vm.FailureDomain == s.cfg.FailureDomain:
+		if vm.Role == messenger.TargetVM && vm.FailureDomain == s.cfg.FailureDomain {
 			targets = append(targets, vm)
-		case vm.Role == messenger.EntryVM && vm.FailureDomain == s.cfg.FailureDomain:
+		}
+	}
+	s.updateBroker(now, broker.Targets{VMs: targets})
+	s.candidates(now, msg.List.VMs)
+}
+
+// candidates tells the membership whom to contact: the entries of the settings,
+// which serve a start during an outage of the platform, and those of the list.
+func (s *State) candidates(now time.Time, vms []messenger.VM) {
+	local, remote := slices.Clone(s.cfg.Seeds), slices.Clone(s.cfg.RemoteSeeds)
+	for _, vm := range vms {
+		switch {
+		case vm.Role != messenger.EntryVM:
+		case vm.FailureDomain == s.cfg.FailureDomain:
 			local = append(local, vm.Address)
-		case vm.Role == messenger.EntryVM:
+		default:
 			remote = append(remote, vm.Address)
 		}
 	}
-	s.updateBroker(now, broker.Targets{VMs: targets})
+	s.remote = remote
 	s.updateGossiper(now, gossiper.Candidates{Local: local, Remote: remote})
 }
 
--- a/entry/dispatcher/state.go
+++ b/entry/dispatcher/state.go
@@ -46,6 +46,10 @@
 	broker   *broker.State
 	gossiper *gossiper.State
 	follower *follower.State
+	// present is the configuration in force.
+	present follower.Accepted
+	// remote lists peer addresses of other failure domains.
+	remote []string
 
 	members []messenger.Member
 	brokers map[string]messenger.Member
@@ -57,6 +61,7 @@
 	held     map[taskKey]heldTask
 	started  time.Time
 	settled  bool
+	seeded   bool
 	rand     *rand.Rand
 	timers   timers
 	stop     stopping
@@ -65,6 +70,7 @@
 	// snapshotDelay is this entry's share of the random delay, 0 to 1.
 	appending     bool
 	snapshotDelay float64
+	snapshotAfter time.Time
 
 	// forwards counts requests passed to other entries and not yet answered.
 	forwards int
@@ -145,7 +151,7 @@
 	case UsageRead:
 		s.usageRead(now, msg)
 	case ConfigurationAsked:
-		s.reply(msg.Waiter, s.follower.Present())
+		s.reply(msg.Waiter, s.present)
 	case StatusAsked:
 		s.reply(msg.Waiter, s.status())
 	case Drain:
@@ -162,7 +168,7 @@
 
 // Ready tells whether callers may be sent here.
 func (s *State) Ready() bool {
-	return s.settled && s.follower.Present().Version > 0 && !s.stop.begun
+	return s.settled && s.present.Version > 0 && !s.stop.begun
 }
 
 func (s *State) emit(cmd Cmd) { s.out = append(s.out, cmd) }
@@ -176,7 +182,7 @@
 func (s *State) log(part, text string) { s.emit(Log{Part: part, Text: text}) }
 
 func (s *State) status() messenger.EntryStatus {
-	present := s.follower.Present()
+	present := s.present
 	return messenger.EntryStatus{
 		Self: s.cfg.Self, FailureDomain: s.cfg.FailureDomain,
 		Ready: s.Ready(), Stopping: s.stop.begun,
--- a/entry/dispatcher/submit.go
+++ b/entry/dispatcher/submit.go
@@ -115,7 +115,7 @@
 // check returns the refusal of a submission that breaks the configuration or a
 // limit, or nil.
 func (s *State) check(sub messenger.Submission, bytes int64) *messenger.Error {
-	present := s.follower.Present()
+	present := s.present
 	rt, known := s.requestType(sub.Service, sub.RequestType)
 	_, team := present.Configuration.Teams[sub.Team]
 	switch {
@@ -148,7 +148,7 @@
 }
 
 func (s *State) requestType(service, name string) (planner.RequestType, bool) {
-	rt, ok := s.follower.Present().Configuration.Services[service].RequestTypes[name]
+	rt, ok := s.present.Configuration.Services[service].RequestTypes[name]
 	return rt, ok
 }
 
--- a/entry/dispatcher/tick.go
+++ b/entry/dispatcher/tick.go
@@ -38,6 +38,10 @@
 }
 
 func (s *State) tick(now time.Time) {
+	if !s.seeded {
+		s.seeded = true
+		s.candidates(now, nil)
+	}
 	if !s.settled && now.Sub(s.started) >= settleTime {
 		s.settled = true
 		s.assign(now)
@@ -62,8 +66,7 @@
 func (s *State) readPlatform(now time.Time) {
 	t := &s.timers
 	if !t.reading && due(now, &t.log, logPeriod) {
-		t.reading = true
-		s.emit(ReadLog{From: s.follower.Want()})
+		s.readLog()
 	}
 	if !t.listing && due(now, &t.list, listPeriod) {
 		t.listing = true
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -31,7 +31,6 @@
 	controlTimeout = time.Second
 	// platformTimeout bounds calls to the platform, whose log may be slow.
 	platformTimeout = 5 * time.Second
-	logPageLimit    = 200
 )
 
 // Runner owns the reducer and its loop. Set the exported fields before [Run].
@@ -270,7 +269,7 @@
 
 func (r *Runner) readLog(cmd dispatcher.ReadLog) {
 	var page messenger.LogPage
-	path := "/v1/log/" + follower.Stream + "?from=" + strconv.FormatInt(cmd.From, 10) + "&limit=" + strconv.Itoa(logPageLimit)
+	path := "/v1/log/" + follower.Stream + "?from=" + strconv.FormatInt(cmd.From, 10) + "&limit=" + strconv.Itoa(cmd.Limit)
 	err := r.platform(http.MethodGet, path, nil, &page)
 	r.Post(dispatcher.LogRead{Page: page, Err: dispatcher.Fail(err)})
 }
