--- a/entry/dispatcher/membership.go
+++ b/entry/dispatcher/membership.go
@@ -55,16 +55,9 @@
 
 func (s *State) heard(now time.Time, msg Heard) {
 	s.updateGossiper(now, gossiper.Heard{Heartbeat: msg.Heartbeat})
-	if msg.Waiter == 0 {
-		return
-	}
-	own := messenger.Heartbeat{
-		From: s.cfg.Self, FailureDomain: s.cfg.FailureDomain, ConfigVersion: s.present.Version,
-	}
-	if msg.Heartbeat.FailureDomain == s.cfg.FailureDomain {
-		own.Members = s.gossiper.Members()
+	if msg.Waiter != 0 {
+		s.reply(msg.Waiter, s.gossiper.Reply(now, msg.Heartbeat))
 	}
-	s.reply(msg.Waiter, own)
 }
 
 func (s *State) membersChanged(now time.Time, members []messenger.Member) {
