Implement the membership of a failure domain

Entries need to know which entries of their failure domain are live, to rank brokers. gossiper.State is a reducer over heartbeats: counters merge by maximum per address and incarnation, a counter that stands still for 1 s makes its member suspected, 10 s forgotten, a pause of the own process is excused. Update now puts Changed first; Reply composes the reply to a heartbeat.

Contacts go round in a random order, rows that few entries were told of go first, a counter is told 3 times by each entry, and a heartbeat has at most 12 rows. The fan-out is 1 up to 4 members, 2 up to 8 and 3 above.

--- a/entry/gossiper/gossiper.go
+++ b/entry/gossiper/gossiper.go
@@ -4,6 +4,8 @@
 package gossiper
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
@@ -17,6 +19,7 @@
 
 // Candidates is the list of entries from the settings and the platform.
 // Addresses of the own failure domain go to Local, those of others to Remote.
+// It replaces the list before.
 type Candidates struct{ Local, Remote []string }
 
 // Version tells the own version of the configuration.
@@ -48,7 +51,9 @@
 // unless it is stopping, sorted by address.
 type Changed struct{ Members []messenger.Member }
 
-// Newer reports that the entry at Address has a newer configuration.
+// Newer reports that the entry at Address has a newer configuration. It is
+// repeated once a second while heartbeats show that version and the own one is
+// lower.
 type Newer struct {
 	Address string
 	Version int64
@@ -58,34 +63,73 @@
 func (Changed) gossiperCmd() {}
 func (Newer) gossiperCmd()   {}
 
-// Settings are the periods of the membership. Zero values mean defaults.
-type Settings struct {
-	HeartbeatMs int64 `json:"heartbeatMs,omitempty"`
-	RemoteMs    int64 `json:"remoteMs,omitempty"`
-	SuspectMs   int64 `json:"suspectMs,omitempty"`
-	ForgetMs    int64 `json:"forgetMs,omitempty"`
-	FanOut      int   `json:"fanOut,omitempty"`
-}
-
 // State is the membership as this entry sees it. Make one with [New].
 type State struct {
 	Self     messenger.Member
 	Domain   string
 	Settings Settings
+
+	random   *rand.Rand
+	counter  uint64
+	stopping bool
+	version  int64
+	rows     []row
+	replaced []replacedMember
+	local    []string
+	remote   []string
+
+	updated    time.Time
+	nextBeat   time.Time
+	nextRemote time.Time
+	rounds     int
+	turnLive   []string
+	turnRest   []string
+	newer      newerNotice
+	live       []messenger.Member
 }
 
 // New returns the state of the entry self in the failure domain; seed starts
 // the source of randomness.
 func New(self messenger.Member, domain string, settings Settings, seed uint64) *State {
-	_ = seed
-	return &State{Self: self, Domain: domain, Settings: settings}
+	return &State{
+		Self:     self,
+		Domain:   domain,
+		Settings: settings.WithDefaults(),
+		random:   rand.New(rand.NewPCG(seed, self.Incarnation)),
+	}
 }
 
 // Update takes one event at the time now and returns the effects it asks for.
 func (s *State) Update(now time.Time, msg Msg) []Cmd {
-	_, _ = now, msg
-	return nil
+	s.excusePause(now)
+	var cmds []Cmd
+	switch m := msg.(type) {
+	case Heard:
+		cmds = s.hear(now, m.Heartbeat)
+	case Candidates:
+		s.setCandidates(m)
+	case Version:
+		s.version = max(s.version, m.ConfigVersion)
+	case Stop:
+		cmds = s.stop(now)
+	case Tick:
+		s.forget(now)
+		cmds = append(s.beat(now), s.beatRemote(now)...)
+	}
+	return s.reportChange(now, cmds)
 }
 
-// Members returns the rows of the membership, this entry included.
-func (s *State) Members() []messenger.MemberState { return nil }
+// Members returns the rows of the membership, this entry included, sorted by
+// address. Suspected members are in it until they are forgotten.
+func (s *State) Members() []messenger.MemberState {
+	list := make([]messenger.MemberState, 0, len(s.rows)+1)
+	for _, r := range s.rows {
+		list = append(list, r.MemberState)
+	}
+	i, _ := s.find(s.Self.Address)
+	return slices.Insert(list, i, s.own())
+}
+
+func (s *State) own() messenger.MemberState {
+	return messenger.MemberState{Member: s.Self, Counter: s.counter, Stopping: s.stopping}
+}
