Try candidates at a fan-out of 1, too

With the setting fanOut 1, the heartbeat that is due to an address without a live member was cut off each time, so two halves of a domain that did not know each other never met. Such a round now contacts one live member less.

Test: a candidate gets 2 of 8 heartbeats at fan-out 1. BenchmarkTraffic is unchanged up to 8 members.

--- a/entry/gossiper/candidate.go
+++ b/entry/gossiper/candidate.go
@@ -28,11 +28,12 @@
 	if len(live) == 0 {
 		return s.takeTurns(rest, &s.turnRest, min(s.Settings.FanOut, len(rest)))
 	}
-	list := s.takeTurns(live, &s.turnLive, min(s.fanOut(len(live)+1), len(live)))
+	fromRest := 0
 	if len(rest) > 0 && s.rounds%restEvery == 0 {
-		list = append(list, s.takeTurns(rest, &s.turnRest, 1)...)
+		fromRest = 1
 	}
-	return list[:min(len(list), s.Settings.FanOut)]
+	fromLive := min(s.fanOut(len(live)+1), len(live), s.Settings.FanOut-fromRest)
+	return append(s.takeTurns(live, &s.turnLive, fromLive), s.takeTurns(rest, &s.turnRest, fromRest)...)
 }
 
 // fanOut returns the number of live members to contact in a round, in a domain
--- a/entry/gossiper/gossiper_test.go
+++ b/entry/gossiper/gossiper_test.go
@@ -88,6 +88,20 @@
 		}
 		wantChanged(t, e.hear(at(1, 5, 1)), self, member(1, 5))
 	})
+	t.Run("a candidate is contacted at the smallest fan-out, too", func(t *testing.T) {
+		e := newEntry(t, gossiper.Settings{FanOut: 1})
+		e.do(gossiper.Candidates{Local: []string{address(1), address(2)}})
+		told := map[string]int{}
+		for counter := range uint64(8) {
+			e.hear(at(1, 5, counter))
+			for _, b := range only[gossiper.Beat](e.pass(250)) {
+				told[b.Address]++
+			}
+		}
+		if told[address(1)] != 6 || told[address(2)] != 2 {
+			t.Fatalf("got %v, want 6 heartbeats to the member and 2 to the candidate", told)
+		}
+	})
 	t.Run("a member without a moving counter is suspected after 1 s and returns", func(t *testing.T) {
 		e := newEntry(t, gossiper.Settings{})
 		e.hear(at(1, 5, 7))
