--- a/entry/gossiper/suspicion.go
+++ b/entry/gossiper/suspicion.go
@@ -49,14 +49,15 @@
 	s.replaced = slices.DeleteFunc(s.replaced, func(r replacedMember) bool { return now.Sub(r.at) >= 2*limit })
 }
 
-// reportChange adds a Changed to cmds if the list of live members is another
-// than before.
+// reportChange puts a Changed before cmds if the list of live members is
+// another than before. It comes first, so that an effect that is carried out at
+// once and leads to the next event can't overtake it.
 func (s *State) reportChange(now time.Time, cmds []Cmd) []Cmd {
 	if s.live != nil && s.sameLive(now) {
 		return cmds
 	}
 	s.live = s.listLive(now)
-	return append(cmds, Changed{Members: slices.Clone(s.live)})
+	return slices.Insert(cmds, 0, Cmd(Changed{Members: slices.Clone(s.live)}))
 }
 
 // sameLive compares without allocating, because it runs for every event.
