entry: keep few idle connections to a target

Cause: a target closes connections over about 60; eight entries with up to 16 idle connections each could exceed that, and a task on a closed connection is lost. Change: at most 4 idle connections per target and entry.

--- a/entry/main.go
+++ b/entry/main.go
@@ -32,8 +32,9 @@
 const (
 	dialTimeout = 500 * time.Millisecond
 	// targetConnections and peerConnections bound idle connections kept per
-	// address; a target allows about 60 connections in all.
-	targetConnections = 16
+	// address. A target closes connections over about 60, which loses the task
+	// on them: 8 entries with 4 idle ones each and 8 busy slots stay below.
+	targetConnections = 4
 	peerConnections   = 64
 	shutdownTimeout   = 10 * time.Second
 	// gcPercent trades memory for processor time: most of the heap is garbage
