proof: scenarios over real processes in a small language

Cause: the safety points need proof while processes die, pause, lose messages, race and are replaced. Change: proof/conductor writes the settings, starts and breaks the programs, submits work and checks the histories; the scenarios are testscript files in proof/testdata/scenarios. Programs are built with the race detector. A target's settings gain listen, so that others can reach it through a forwarder.

--- a/proof/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package proof holds scenarios and history checks over real processes.
-package proof
--- a/proof/forwarder/connection.go
+++ b/proof/forwarder/connection.go
@@ -40,6 +40,9 @@
 	}
 	defer n.drop(client)
 	c := &connection{network: n, client: client, from: n.source(client.RemoteAddr()), to: to}
+	if c.from == "" {
+		return
+	}
 	// A connection over a cut is not established before the cut is healed.
 	if _, ok := n.pass(flow{c.from, to}); !ok {
 		return
--- /dev/null
+++ b/proof/scenario_test.go
@@ -0,0 +1,100 @@
+// Package proof runs the scenarios of testdata/scenarios over real processes
+// and checks the histories that these write.
+package proof
+
+import (
+	"flag"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/godwitrelay/godwitrelay/proof/conductor"
+)
+
+// defaultSeed is the seed in CI. GODWIT_SEED sets another one.
+const defaultSeed = 20261204
+
+// deploymentKey finds a script's deployment in its environment.
+type deploymentKey struct{}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// Each scenario has some ten processes; few at once leave the machine to
+	// the other tests.
+	if f := flag.Lookup("test.parallel"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("3")
+	}
+	os.Exit(m.Run())
+}
+
+// build builds the programs under test once, with the race detector.
+func build(t *testing.T) conductor.Programs {
+	t.Helper()
+	folder := t.TempDir()
+	program := func(module string) string {
+		path := filepath.Join(folder, "godwit-"+module)
+		out, err := exec.CommandContext(t.Context(), "go", "build", "-race", "-o", path, "../"+module).CombinedOutput()
+		if err != nil {
+			t.Fatalf("building %s: %v\n%s", module, err, out)
+		}
+		return path
+	}
+	return conductor.Programs{
+		Entry: program("entry"), Platform: program("platform"), Target: program("target"), Operator: program("operator"),
+	}
+}
+
+// seed returns the seed of the run.
+func seed(t *testing.T) int64 {
+	t.Helper()
+	text := os.Getenv("GODWIT_SEED")
+	if text == "" {
+		return defaultSeed
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		t.Fatalf("GODWIT_SEED: %v", err)
+	}
+	return n
+}
+
+// TestScenarios guards against a violation of a safety point while processes
+// die, pause, lose messages, race and are replaced.
+func TestScenarios(t *testing.T) {
+	programs, seed := build(t), seed(t)
+	root := filepath.Join(os.TempDir(), "godwit-proof")
+	if err := os.MkdirAll(root, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	testscript.Run(t, testscript.Params{
+		Dir: filepath.Join("testdata", "scenarios"),
+		Setup: func(env *testscript.Env) error {
+			script := env.T().(interface {
+				Failed() bool
+				Name() string
+			})
+			folder, err := os.MkdirTemp(root, filepath.Base(script.Name())+"-")
+			if err != nil {
+				return err
+			}
+			d := conductor.New(programs, folder, seed)
+			env.Values[deploymentKey{}] = d
+			env.Defer(func() {
+				d.Close()
+				if script.Failed() {
+					env.T().Log("seed", seed, "histories and logs kept in", folder)
+					return
+				}
+				_ = os.RemoveAll(folder)
+			})
+			return nil
+		},
+		Cmds: conductor.Commands(func(ts *testscript.TestScript) *conductor.Deployment {
+			return ts.Value(deploymentKey{}).(*conductor.Deployment)
+		}),
+	})
+}
--- a/target/fleet.go
+++ b/target/fleet.go
@@ -50,10 +50,10 @@
 	prefix := hex.EncodeToString(random[:])
 	client := messenger.Client{Transport: messenger.NewTransport(64, platformTimeout)}
 	for _, g := range s.Targets {
-		for _, vm := range g.vms() {
+		for i, vm := range g.vms() {
 			guards := s.Lease != nil && s.Lease.GuardsWork
 			w := worker.New(vm, guards, s.Seed+uint64(len(f.hosts)))
-			h, err := listener.NewHost(w, int(g.MaxConnections), prefix, f.history)
+			h, err := listener.NewHostAt(w, g.listen(i), int(g.MaxConnections), prefix, f.history)
 			if err != nil {
 				return nil, err
 			}
--- a/target/listener/host.go
+++ b/target/listener/host.go
@@ -39,8 +39,14 @@
 // NewHost opens the socket of a target with room for maxConnections. Prefix
 // makes the ids of its usage reports unique. History may be nil.
 func NewHost(w *worker.Worker, maxConnections int, prefix string, history *recorder.Recorder) (*Host, error) {
+	return NewHostAt(w, w.Row().Address, maxConnections, prefix, history)
+}
+
+// NewHostAt is [NewHost] for a target whose socket is not opened at the address
+// that the VM list announces.
+func NewHostAt(w *worker.Worker, listen string, maxConnections int, prefix string, history *recorder.Recorder) (*Host, error) {
 	vm := w.Row()
-	gate, err := Open(vm.Address, maxConnections)
+	gate, err := Open(listen, maxConnections)
 	if err != nil {
 		return nil, errors.Wrapf(err, "target %s", vm.Address)
 	}
--- a/target/settings.go
+++ b/target/settings.go
@@ -44,9 +44,12 @@
 }
 
 // group is a number of targets that differ in their address only: Addresses,
-// or Count consecutive ports from FirstAddress.
+// or Count consecutive ports from FirstAddress. Listen, one for each of
+// Addresses, is where the sockets are opened if others reach the targets
+// through a forwarder.
 type group struct {
 	Addresses      []string `json:"addresses,omitempty"`
+	Listen         []string `json:"listen,omitempty"`
 	FirstAddress   string   `json:"firstAddress,omitempty"`
 	Count          int64    `json:"count,omitempty"`
 	Service        string   `json:"service"`
@@ -111,6 +114,12 @@
 }
 
 func (g *group) checkAddresses(f *loader.Faults, prefix string) {
+	for _, address := range g.Listen {
+		f.Address(prefix+"listen", address)
+	}
+	if len(g.Listen) > 0 && len(g.Listen) != len(g.Addresses) {
+		f.Add(prefix+"listen", g.Listen, "none, or one for each of addresses")
+	}
 	switch {
 	case len(g.Addresses) > 0 && g.FirstAddress != "":
 		f.Add(prefix+"firstAddress", g.FirstAddress, "nothing, because addresses is set")
@@ -142,6 +151,14 @@
 	return list
 }
 
+// listen returns where the socket of the target number i is opened.
+func (g *group) listen(i int) string {
+	if len(g.Listen) > 0 {
+		return g.Listen[i]
+	}
+	return g.list()[i]
+}
+
 // vms returns the rows of the group's targets.
 func (g *group) vms() []messenger.VM {
 	var list []messenger.VM
