--- a/proof/conductor/command.go
+++ b/proof/conductor/command.go
@@ -427,8 +427,14 @@
 	return each(d, a, func(p *process) error { return d.freeze(p, false) })
 }
 
-// checkCommand waits for the load and for agreement, then checks all histories.
+// checkCommand: check-history [leavingMs=N] waits for the load and for agreement,
+// then checks all histories. leavingMs is the bound for starts on a target that
+// is leaving.
 func checkCommand(d *Deployment, ts *testscript.TestScript, a *arguments) error {
+	leaving, err := a.number("leavingMs", 0)
+	if err != nil {
+		return err
+	}
 	if err := a.done(0, 0); err != nil {
 		return err
 	}
@@ -439,7 +445,7 @@
 	if err := d.waitAgreed(); err != nil {
 		return err
 	}
-	list, records, err := d.Check()
+	list, records, err := d.Check(time.Duration(leaving) * time.Millisecond)
 	if err != nil {
 		return err
 	}
--- a/proof/forwarder/connection.go
+++ b/proof/forwarder/connection.go
@@ -39,7 +39,7 @@
 		return
 	}
 	defer n.drop(client)
-	c := &connection{network: n, client: client, from: n.source(client.RemoteAddr()), to: to}
+	c := &connection{network: n, client: client, from: n.source(client), to: to}
 	if c.from == "" {
 		return
 	}
--- a/proof/forwarder/network.go
+++ b/proof/forwarder/network.go
@@ -38,7 +38,7 @@
 // Network holds the forwarders and the faults between processes. Make one with
 // [New] and end it with [Network.Close].
 type Network struct {
-	source func(net.Addr) string
+	source func(net.Conn) string
 
 	mu        sync.Mutex
 	changed   *sync.Cond
@@ -52,9 +52,9 @@
 }
 
 // New returns a network without faults. source names the process that opened
-// the connection with the given remote address, "" if it is not known. A
+// an accepted connection, "" if it is not known. A
 // connection of an unknown process is closed, as no cut would hold it.
-func New(source func(net.Addr) string) *Network {
+func New(source func(net.Conn) string) *Network {
 	n := &Network{
 		source: source, held: map[flow]bool{}, delays: map[flow]time.Duration{},
 		losses: map[flow][]*loss{}, open: map[net.Conn]bool{}, listeners: map[string][]net.Listener{},
