Serve jobs by deadline once the backlog endangers them

Change: within a class, the job with the earliest deadline goes first when the backlog of its class could not be served before that deadline. The estimated wait has a margin of 30 percent. A job for which less than half of a run fits before its deadline is refused as deadlineExceeded at once.

--- a/entry/broker/admission.go
+++ b/entry/broker/admission.go
@@ -184,9 +184,12 @@
 // waitMs is the time until the last task of the work starts, when free slots
 // take a part of it at once and the rest is served at the rate, in slots.
 func waitMs(work int64, free, rate float64) int64 {
-	return int64(max(0, float64(work)-free) / rate)
+	return int64(waitMargin * max(0, float64(work)-free) / rate)
 }
 
+// waitMargin covers later urgent work and tasks that run longer than the mean.
+const waitMargin = 1.3
+
 // freeSlots is the number of slots that work of the class can take at once.
 func (svc *service) freeSlots(c class, s *State) int {
 	free := svc.capacity() - svc.used()
--- a/entry/broker/estimate.go
+++ b/entry/broker/estimate.go
@@ -17,6 +17,8 @@
 	maxRunMs int64
 	outcomes int
 	mean     float64
+	// high is a high quantile of the run times, 0 while it is unknown.
+	high int64
 	histogram
 	tasks [classes]int64
 	// fallbackMs is the sum of the run times of the waiting tasks as they were
@@ -62,10 +64,21 @@
 // to wait is judged by a high quantile, because it can't recover from a long
 // run; a job that starts at once gets its chance.
 func (k *kind) lastRunMs(mean, wait int64) int64 {
-	if wait == 0 || !k.learned() {
+	if wait == 0 {
 		return mean
 	}
-	return max(mean, k.quantile())
+	return k.highMs(mean)
+}
+
+// highMs is a high quantile of the run time, or the mean while it is unknown.
+func (k *kind) highMs(mean int64) int64 { return max(mean, k.high) }
+
+// leastMs is a time in which hardly any task of the type ends.
+func (k *kind) leastMs() int64 {
+	if !k.learned() {
+		return 0
+	}
+	return int64(k.mean / 2)
 }
 
 func (k *kind) learn(runMs int64) {
@@ -73,6 +86,9 @@
 	weight := max(meanWeight, 1/float64(k.outcomes))
 	k.mean += (float64(runMs) - k.mean) * weight
 	k.histogram.add(runMs)
+	if k.outcomes%outcomesToTrust == 0 {
+		k.high = k.quantile()
+	}
 }
 
 // add accounts for n more waiting tasks of the job's class.
--- a/entry/broker/job.go
+++ b/entry/broker/job.go
@@ -53,6 +53,7 @@
 	lane          *lane
 	orderPlace    int
 	agePlace      int
+	duePlace      int
 	deadlinePlace int
 	ownerPlace    int
 }
--- a/entry/broker/queue.go
+++ b/entry/broker/queue.go
@@ -7,7 +7,9 @@
 	key   laneKey
 	order heap[*job]
 	// age orders bulk jobs by arrival.
-	age   heap[*job]
+	age heap[*job]
+	// due orders jobs with a deadline by it.
+	due   heap[*job]
 	place int
 }
 
@@ -73,6 +75,7 @@
 		l = &lane{key: key}
 		l.order = heap[*job]{less: svc.order, place: func(j *job) *int { return &j.orderPlace }}
 		l.age = heap[*job]{less: arrivedFirst, place: func(j *job) *int { return &j.agePlace }}
+		l.due = heap[*job]{less: deadlineFirst, place: func(j *job) *int { return &j.duePlace }}
 		svc.lanes[key] = l
 	}
 	if l.order.len() == 0 {
@@ -84,6 +87,9 @@
 	if j.class == bulk {
 		l.age.push(j)
 	}
+	if j.deadline != 0 {
+		l.due.push(j)
+	}
 }
 
 func (svc *service) withdraw(j *job) {
@@ -93,6 +99,7 @@
 	}
 	l.order.remove(j)
 	l.age.remove(j)
+	l.due.remove(j)
 	j.lane = nil
 	if l.order.len() > 0 {
 		return
@@ -124,28 +131,54 @@
 	}
 }
 
-// first returns the job of the class that goes first, of those that have a
-// free target and a team with room; with aged, the one that arrived first.
-func (svc *service) first(c class, aged bool) *job {
+// oldest returns the bulk job that arrived first, of those that can be granted.
+func (svc *service) oldest() *job {
 	var best *job
 	free := svc.freeGroup()
-	for _, l := range svc.active[c] {
+	for _, l := range svc.active[bulk] {
 		if l.key.group > free || !l.key.team.room() {
 			continue
 		}
-		if aged {
-			if j := l.age.top(); best == nil || arrivedFirst(j, best) {
-				best = j
-			}
+		if j := l.age.top(); best == nil || arrivedFirst(j, best) {
+			best = j
+		}
+	}
+	return best
+}
+
+// first returns the job of the class that goes first, of those that have a
+// free target and a team with room: the one with the earliest deadline if that
+// is in danger, or else the first in order.
+func (svc *service) first(c class, now int64) *job {
+	var best, due *job
+	free := svc.freeGroup()
+	for _, l := range svc.active[c] {
+		if l.key.group > free || !l.key.team.room() {
 			continue
 		}
 		if j := l.order.top(); best == nil || svc.order(j, best) {
 			best = j
 		}
+		if l.due.len() == 0 {
+			continue
+		}
+		if j := l.due.top(); (due == nil || deadlineFirst(j, due)) && j.pressing(svc.backlog[c], now) {
+			due = j
+		}
+	}
+	if due != nil {
+		return due
 	}
 	return best
 }
 
+// pressing reports whether the job's deadline is in danger: the whole backlog
+// of its class could not be served before it. Under a lasting load smaller jobs
+// would overtake the job until it is too late.
+func (j *job) pressing(backlogMs, now int64) bool {
+	return j.deadline-now < (j.kind.highMs(j.taskMs)+backlogMs)*ms
+}
+
 // next returns the job whose task is to be granted next, or nil.
 func (s *State) next(svc *service) *job {
 	if svc.inUse[urgent]+svc.inUse[bulk] >= svc.share {
@@ -153,19 +186,19 @@
 	}
 	bulkRoom := svc.inUse[bulk] < svc.bulkSlots(s.Settings.UrgentReservePercent)
 	if bulkRoom && svc.sinceAged >= s.Settings.BulkShare-1 {
-		if j := svc.first(bulk, true); j != nil && s.now-j.arrived > s.Settings.BulkAgeMs*ms {
+		if j := svc.oldest(); j != nil && s.now-j.arrived > s.Settings.BulkAgeMs*ms {
 			svc.sinceAged = 0
 			return j
 		}
 	}
-	if j := svc.first(urgent, false); j != nil {
+	if j := svc.first(urgent, s.now); j != nil {
 		svc.sinceAged++
 		return j
 	}
 	if !bulkRoom {
 		return nil
 	}
-	return svc.first(bulk, false)
+	return svc.first(bulk, s.now)
 }
 
 // serve grants tasks while there are free slots for them.
@@ -174,6 +207,9 @@
 		return
 	}
 	s.expireJobs(svc)
+	for c := range classes {
+		svc.backlog[c] = waitMs(svc.aheadMs(c), 0, svc.rate(c, s))
+	}
 	for {
 		j := s.next(svc)
 		if j == nil {
@@ -187,9 +223,14 @@
 	}
 }
 
-// expireJobs refuses the waiting tasks of jobs whose deadline has passed.
+// expireJobs refuses the waiting tasks of jobs whose deadline has passed, or
+// is so near that less than half of a run fits in: slots would be wasted.
 func (s *State) expireJobs(svc *service) {
-	for svc.deadlines.len() > 0 && svc.deadlines.top().deadline <= s.now {
-		s.refuseLate(svc.deadlines.top())
+	for svc.deadlines.len() > 0 {
+		j := svc.deadlines.top()
+		if j.deadline > s.now+j.kind.leastMs()*ms {
+			return
+		}
+		s.refuseLate(j)
 	}
 }
--- a/entry/broker/service.go
+++ b/entry/broker/service.go
@@ -30,6 +30,9 @@
 	deadlines heap[*job]
 	waiting   [classes]int
 	inUse     [classes]int
+	// backlog is the time in milliseconds in which the waiting work of a class
+	// and above can be served, as of the start of the present event.
+	backlog   [classes]int64
 	sinceAged int
 	// urgentUse is the moving average of the slots used by urgent work.
 	urgentUse float64
