Test the broker's rules and fix what they found

Cause: health, admission, the retry budget, the allowance, ageing, takeover and probes had no focused tests.

Change: the tests found that a job with more memory than any target was never refused, because of an empty group of targets without a memory limit.

Test: go test -race ./broker passes.

--- a/entry/broker/admission.go
+++ b/entry/broker/admission.go
@@ -9,7 +9,7 @@
 // request takes a job's request for slots.
 func (s *State) request(p *peer, r *messenger.SlotRequest) {
 	if dead, ok := s.refused.until[r.JobID]; ok {
-		s.refuse(p, r.JobID, messenger.NewError(dead.kind, ""))
+		s.refuse(p, r.JobID, &dead.error)
 		return
 	}
 	svc := s.services[r.Service]
@@ -67,30 +67,43 @@
 
 // newTasks returns the tasks of the list that neither wait nor hold a grant.
 func (s *State) newTasks(j *job, list []int) []int {
-	if j == nil {
+	if j == nil && increasing(list) {
 		return list
 	}
-	waiting := make(map[int]bool, j.waiting())
-	for _, t := range j.tasks {
-		waiting[t] = true
-	}
-	for _, r := range j.retries {
-		waiting[r.task] = true
+	known := map[int]bool{}
+	if j != nil {
+		for _, t := range j.tasks {
+			known[t] = true
+		}
+		for _, r := range j.retries {
+			known[r.task] = true
+		}
 	}
 	var tasks []int
 	for _, t := range list {
-		if !waiting[t] && s.grants[grantKey{j.id, t}] == nil {
+		if !known[t] && (j == nil || s.grants[grantKey{j.id, t}] == nil) {
+			known[t] = true
 			tasks = append(tasks, t)
 		}
 	}
 	return tasks
 }
 
+// increasing reports whether the list is sorted and has no element twice.
+func increasing(list []int) bool {
+	for i := 1; i < len(list); i++ {
+		if list[i] <= list[i-1] {
+			return false
+		}
+	}
+	return true
+}
+
 // classFor returns the class of a request, which may lower but not raise what
 // the configuration says.
 func (s *State) classFor(svc *service, r *messenger.SlotRequest) class {
 	c := classOf(r.Priority)
-	if rt, ok := s.configuration.Services[svc.name].RequestTypes[r.RequestType]; ok {
+	if rt, ok := svc.types[r.RequestType]; ok {
 		c = max(c, classOf(rt.Priority))
 	}
 	return c
@@ -101,15 +114,13 @@
 	if !s.configured {
 		return messenger.NewError(messenger.NotReady, "")
 	}
-	config, ok := s.configuration.Services[svc.name]
-	if !ok {
+	if _, ok := s.configuration.Services[svc.name]; !ok {
 		return messenger.NewError(messenger.UnknownService, "")
 	}
-	if _, ok := config.RequestTypes[r.RequestType]; !ok {
+	if _, ok := svc.types[r.RequestType]; !ok {
 		return messenger.NewError(messenger.UnknownService, fmt.Sprintf("service %q has no request type %q", svc.name, r.RequestType))
 	}
-	t := s.team(r.Team)
-	if !t.known {
+	if _, ok := s.configuration.Teams[r.Team]; !ok {
 		return messenger.NewError(messenger.UnknownTeam, "")
 	}
 	run := svc.kind(r.RequestType).runMs(r.DeclaredRunMs)
@@ -122,7 +133,7 @@
 	if !svc.affordable(int64(n) * run) {
 		return messenger.NewError(messenger.AllowanceSpent, "").After(s.spread(allowanceRetryMs))
 	}
-	return s.admitTime(svc, c, t, r, int64(n)*run)
+	return s.admitTime(svc, c, s.team(r.Team), r, int64(n)*run)
 }
 
 // admitSize refuses what no target can ever run, or none can run now.
@@ -139,13 +150,14 @@
 	return nil
 }
 
-// largestMemory is the memory of the largest target that is not leaving.
+// largestMemory is the memory of the largest known target.
 func (svc *service) largestMemory() int64 {
-	largest := int64(0)
-	for _, g := range svc.groups {
-		largest = max(largest, g.memoryMB)
+	for i := len(svc.groups) - 1; i >= 0; i-- {
+		if svc.groups[i].members > 0 {
+			return svc.groups[i].memoryMB
+		}
 	}
-	return largest
+	return 0
 }
 
 const (
@@ -237,7 +249,7 @@
 // refuse tells the owner that a job gets no grant, or no further one.
 func (s *State) refuse(p *peer, id string, e *messenger.Error) {
 	s.count("refusal", string(e.Kind))
-	s.refused.add(id, e.Kind, s.now)
+	s.refused.add(id, *e, s.now)
 	p.sendRefusals = append(p.sendRefusals, messenger.SlotRefusal{JobID: id, Error: *e})
 	s.touch(p)
 }
@@ -248,7 +260,9 @@
 }
 
 func (s *State) refuseBudget(j *job) {
-	retry := s.spread(j.service.backlogMs(j.class, s))
-	s.refuse(j.owner, j.id, messenger.NewError(messenger.Overloaded, "the retry budget is spent").After(retry))
+	e := messenger.NewError(messenger.Overloaded, "the retry budget is spent")
+	// Other tasks of the job may have run; only its owner knows.
+	e.Ran, e.SafeToResubmit = messenger.MayHaveRun, false
+	s.refuse(j.owner, j.id, e.After(s.spread(j.service.backlogMs(j.class, s))))
 	s.end(j)
 }
--- a/entry/broker/estimate.go
+++ b/entry/broker/estimate.go
@@ -36,7 +36,7 @@
 func (svc *service) kind(name string) *kind {
 	k := svc.kinds[name]
 	if k == nil {
-		k = &kind{name: name}
+		k = &kind{name: name, maxRunMs: svc.types[name].MaxRunMs}
 		svc.kinds[name] = k
 		svc.kindList = append(svc.kindList, k)
 	}
--- a/entry/broker/grant.go
+++ b/entry/broker/grant.go
@@ -106,13 +106,20 @@
 	if !live && svc.targets[r.Grant.Target] == nil {
 		return
 	}
-	t, k := svc.targets[r.Grant.Target], svc.kind(r.RequestType)
+	t, k := svc.targets[r.Grant.Target], svc.kinds[r.RequestType]
 	if live {
 		t, k = g.target, g.job.kind
 		s.settle(g, r)
 	}
-	if r.Status != nil {
-		s.learn(svc, t, *r.Status, r.Outcome == messenger.GrantBusy)
+	if k == nil {
+		return
+	}
+	busy := r.Outcome == messenger.GrantBusy
+	switch {
+	case r.Status != nil:
+		s.learn(svc, t, *r.Status, busy)
+	case busy:
+		s.learn(svc, t, messenger.TargetStatus{InFlight: t.slots}, true)
 	}
 	s.judge(svc, t, k, r)
 	if r.Outcome == messenger.GrantDone {
--- a/entry/broker/health.go
+++ b/entry/broker/health.go
@@ -75,9 +75,8 @@
 	switch {
 	case r.Outcome == messenger.GrantLeaving:
 		t.ownLeaving = true
-		svc.recount()
 	case r.Outcome == messenger.GrantDone:
-		s.succeeded(svc, t, k, r.RunMs)
+		s.succeeded(t, k, r.RunMs)
 	case failedOutcome(r.Outcome):
 		s.failed(svc, t, k, r.Outcome)
 	}
@@ -86,7 +85,7 @@
 	}
 }
 
-func (s *State) succeeded(svc *service, t *target, k *kind, runMs int64) {
+func (s *State) succeeded(t *target, k *kind, runMs int64) {
 	k.note(t, false)
 	t.record(false)
 	s.time(t, k, runMs)
@@ -98,13 +97,12 @@
 		t.state, t.backoffMs, t.recent, t.recentCount = ready, 0, 0, 0
 		s.count("target", "readmitted")
 	}
-	svc.recount()
 }
 
 func (s *State) failed(svc *service, t *target, k *kind, outcome messenger.GrantOutcome) {
 	if outcome == messenger.GrantUnreachable {
 		t.unreachable = true
-		s.hold(svc, t)
+		t.hold(s.now)
 	} else {
 		k.note(t, true)
 		if k.poison(t) {
@@ -137,10 +135,9 @@
 
 // hold keeps work away from a target that refused a connection, shortly and
 // then longer, until the failures add up to an ejection.
-func (s *State) hold(svc *service, t *target) {
+func (t *target) hold(now int64) {
 	t.held = true
-	t.holdUntil = s.now + firstHoldMs<<min(t.inRow, failuresInRow)*ms
-	svc.recount()
+	t.holdUntil = now + firstHoldMs<<min(t.inRow, failuresInRow)*ms
 }
 
 // eject takes the target out of use for its backoff. At most half of the pool
@@ -152,7 +149,6 @@
 	t.backoffMs = min(max(2*t.backoffMs, firstBackoffMs), longestBackoffMs)
 	t.state, t.until, t.inRow = ejected, s.now+t.backoffMs*ms, 0
 	s.count("target", "ejected")
-	svc.recount()
 	svc.refresh(t)
 }
 
@@ -188,10 +184,9 @@
 // sweepTargets ends what lasts a limited time and asks silent targets for
 // their status.
 func (s *State) sweepTargets(svc *service) {
-	changed := false
+	svc.forgetGone()
 	for _, t := range svc.listed {
 		if s.sweepTarget(t) {
-			changed = true
 			svc.refresh(t)
 		}
 		if s.probeDue(t) {
@@ -199,9 +194,6 @@
 			s.out = append(s.out, Probe{Target: t.address})
 		}
 	}
-	if changed {
-		svc.recount()
-	}
 }
 
 func (s *State) sweepTarget(t *target) bool {
@@ -242,7 +234,7 @@
 			t.record(true)
 			s.eject(svc, t)
 		} else {
-			t.heard, t.unreachable = s.now, false
+			t.heard, t.unreachable, t.ownLeaving = s.now, false, false
 			s.learn(svc, t, m.Status, false)
 		}
 		svc.refresh(t)
--- a/entry/broker/registration.go
+++ b/entry/broker/registration.go
@@ -175,8 +175,8 @@
 
 // tombstone is the refusal of a job.
 type tombstone struct {
-	kind messenger.Kind
-	ends int64
+	error messenger.Error
+	ends  int64
 }
 
 // tombstones remembers refused jobs for a while, so that a registration that
@@ -188,11 +188,11 @@
 
 const tombstoneMs = 3000
 
-func (t *tombstones) add(id string, kind messenger.Kind, now int64) {
+func (t *tombstones) add(id string, e messenger.Error, now int64) {
 	if _, ok := t.until[id]; !ok {
 		t.order = append(t.order, id)
 	}
-	t.until[id] = tombstone{kind, now + tombstoneMs*ms}
+	t.until[id] = tombstone{e, now + tombstoneMs*ms}
 }
 
 func (t *tombstones) prune(now int64) {
--- /dev/null
+++ b/entry/broker/rule_test.go
@@ -0,0 +1,312 @@
+package broker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/godwitrelay/godwitrelay/core/messenger"
+)
+
+// ask requests one job and returns what the broker sent.
+func (b *bench) ask(r messenger.SlotRequest) ([]messenger.Grant, []messenger.SlotRefusal) {
+	grants, refusals, _ := sent(b.from(self, messenger.SlotsRequest{Requests: []messenger.SlotRequest{r}}))
+	return grants, refusals
+}
+
+// end releases a grant of type check with an outcome.
+func (b *bench) end(g messenger.Grant, o messenger.GrantOutcome, requeue bool) []Cmd {
+	return b.from(self, messenger.SlotsRequest{Releases: []messenger.Release{{Grant: g, Team: "red", RequestType: "check", Outcome: o, RunMs: 100, Requeue: requeue}}})
+}
+
+// wait lets time pass in ticks and returns all commands.
+func (b *bench) wait(d time.Duration) []Cmd {
+	var cmds []Cmd
+	for end := b.at.Add(d); b.at.Before(end); {
+		b.at = b.at.Add(5 * time.Millisecond)
+		cmds = append(cmds, b.do(Tick{})...)
+	}
+	return cmds
+}
+
+func (b *bench) states() map[string]int {
+	n := map[string]int{}
+	for _, t := range b.Services()[0].Targets {
+		n[t.State]++
+	}
+	return n
+}
+
+func wantEqual[T comparable](t *testing.T, what string, got, want T) {
+	t.Helper()
+	if got != want {
+		t.Fatalf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+// TestRefusalKinds guards against refusals with the wrong reason.
+func TestRefusalKinds(t *testing.T) {
+	cases := []struct {
+		kind   messenger.Kind
+		change func(*messenger.SlotRequest)
+		setup  func(*bench)
+	}{
+		{messenger.UnknownService, func(r *messenger.SlotRequest) { r.Service = "none" }, nil},
+		{messenger.UnknownService, func(r *messenger.SlotRequest) { r.RequestType = "none" }, nil},
+		{messenger.UnknownTeam, func(r *messenger.SlotRequest) { r.Team = "none" }, nil},
+		{messenger.NeverRunnable, func(r *messenger.SlotRequest) { r.DeclaredMemoryMB = 1001 }, nil},
+		{messenger.NeverRunnable, func(r *messenger.SlotRequest) { r.DeadlineInMs = 99 }, nil},
+		{messenger.NeverRunnable, func(r *messenger.SlotRequest) { r.DeclaredRunMs, r.DeadlineInMs = 0, 499 }, nil},
+		{messenger.NoTarget, nil, func(b *bench) { b.list([]messenger.VM{{}}); b.leave() }},
+		{messenger.DeadlineUnmeetable, func(r *messenger.SlotRequest) { r.DeadlineInMs = 200 }, func(b *bench) { b.ask(testRequest("big", "check", 40)) }},
+		{messenger.OverQuota, func(r *messenger.SlotRequest) { r.Team, r.DeadlineInMs = "small", 500 }, nil},
+		{messenger.Overloaded, func(r *messenger.SlotRequest) { r.Tasks = make([]int, 0); fill(r, 101) }, nil},
+		{messenger.AllowanceSpent, nil, func(b *bench) { b.services["orders"].allowance = 100 }},
+		{messenger.DeadlineExceeded, func(r *messenger.SlotRequest) { r.Admitted, r.DeadlineInMs = true, 0 }, nil},
+	}
+	for i, c := range cases {
+		t.Run(fmt.Sprint(i, c.kind), func(t *testing.T) {
+			config := testConfiguration()
+			config.Teams["small"] = config.Teams["none"]
+			small := config.Teams["small"]
+			small.Slots = 1
+			config.Teams["small"] = small
+			b := newBench(config, Settings{MaxWaitingTasks: 100}, 2, 4)
+			if c.setup != nil {
+				c.setup(b)
+			}
+			r := testRequest("j", "check", 10)
+			if c.change != nil {
+				c.change(&r)
+			}
+			grants, refusals := b.ask(r)
+			if len(grants) != 0 || len(refusals) != 1 || refusals[0].Error.Kind != c.kind {
+				t.Fatalf("got %v, %v, want a refusal as %s", grants, refusals, c.kind)
+			}
+		})
+	}
+}
+
+func fill(r *messenger.SlotRequest, n int) {
+	for i := range n {
+		r.Tasks = append(r.Tasks, i)
+	}
+}
+
+// leave lets all targets leave.
+func (b *bench) leave() {
+	vms := testTargets(2, 4)
+	for i := range vms {
+		vms[i].Leaving = true
+	}
+	b.do(Targets{VMs: vms})
+}
+
+// TestBulkProgress guards against bulk work that starves under urgent work,
+// and against bulk work that takes more than its part.
+func TestBulkProgress(t *testing.T) {
+	b := newBench(testConfiguration(), Settings{BulkAgeMs: 500, BulkShare: 5}, 1, 4)
+	bulkJob := testRequest("bulk", "batch", 1000)
+	bulkJob.DeadlineInMs, bulkJob.DeclaredRunMs = 1<<40, 1
+	live, _ := b.ask(testRequest("first", "check", 4))
+	b.ask(bulkJob)
+	bulks, early := 0, 0
+	for i := range 400 {
+		b.at = b.at.Add(5 * time.Millisecond)
+		r := testRequest(fmt.Sprint("urgent", i), "check", 1)
+		r.DeadlineInMs, r.DeclaredRunMs = 1<<30, 1
+		b.ask(r)
+		g := live[0]
+		grants, _, _ := sent(b.end(g, messenger.GrantDone, false))
+		live = append(live[1:], grants...)
+		for _, g := range grants {
+			bulks += count(g.JobID == "bulk")
+			early += count(g.JobID == "bulk" && i < 100)
+		}
+	}
+	wantEqual(t, "bulk grants before their age", early, 0)
+	wantEqual(t, "bulk grants of 300", bulks, 60)
+}
+
+// TestEjection guards against a target that fails everything and stays in use,
+// or that gets its full load at once after its backoff.
+func TestEjection(t *testing.T) {
+	b := newBench(testConfiguration(), Settings{}, 3, 8)
+	bad := "10.0.0.1:80"
+	id := 0
+	round := func(fails bool) int {
+		id++
+		grants, _ := b.ask(testRequest(fmt.Sprint(id), "check", 24))
+		toBad := 0
+		for _, g := range grants {
+			o := messenger.GrantDone
+			if g.Target == bad {
+				toBad++
+				if fails {
+					o = messenger.GrantFailed
+				}
+			}
+			b.from(self, messenger.SlotsRequest{Cancels: []string{g.JobID}})
+			b.end(g, o, false)
+		}
+		return toBad
+	}
+	wantEqual(t, "starts on the target", round(true), 8)
+	wantEqual(t, "ejected targets", b.states()["ejected"], 1)
+	wantEqual(t, "starts while ejected", round(true), 0)
+	b.wait(1100 * time.Millisecond)
+	wantEqual(t, "starts on trial", round(true), 1)
+	b.wait(1100 * time.Millisecond)
+	wantEqual(t, "starts during the doubled backoff", round(true), 0)
+	b.wait(1000 * time.Millisecond)
+	for i, want := range []int{1, 2, 8, 8} {
+		wantEqual(t, fmt.Sprint("starts in round ", i), round(false), want)
+	}
+}
+
+// TestPoison guards against a request type that fails everywhere and takes
+// targets out of use.
+func TestPoison(t *testing.T) {
+	b := newBench(testConfiguration(), Settings{}, 10, 2)
+	most := 0
+	for i := range 50 {
+		grants, _ := b.ask(testRequest(fmt.Sprint(i), "check", 20))
+		for _, g := range grants {
+			b.end(g, messenger.GrantFailed, false)
+			most = max(most, b.states()["ejected"]+b.states()["trial"])
+		}
+	}
+	wantEqual(t, "ejected targets", most, 0)
+	for _, vm := range testTargets(10, 2) {
+		for range 6 {
+			b.do(Probed{Target: vm.Address, Failed: true})
+		}
+	}
+	wantEqual(t, "ejected targets when all probes fail", b.states()["ejected"], 5)
+}
+
+// TestRetryBudget guards against retries without bound.
+func TestRetryBudget(t *testing.T) {
+	b := newBench(testConfiguration(), Settings{}, 2, 1)
+	grants, _ := b.ask(testRequest("j", "check", 1))
+	for i := range firstTokens {
+		var refusals []messenger.SlotRefusal
+		grants, refusals, _ = sent(b.end(grants[0], messenger.GrantLeaving, true))
+		b.do(Probed{Target: "10.0.0.1:80"})
+		retry, _, _ := sent(b.do(Probed{Target: "10.0.0.2:80"}))
+		if grants = append(grants, retry...); len(grants) != 1 || len(refusals) != 0 {
+			t.Fatalf("retry %d: got %v, %v, want a grant", i, grants, refusals)
+		}
+	}
+	_, refusals, _ := sent(b.end(grants[0], messenger.GrantLeaving, true))
+	if len(refusals) != 1 || refusals[0].Error.Kind != messenger.Overloaded || refusals[0].Error.SafeToResubmit {
+		t.Fatalf("got %v, want a refusal that promises nothing", refusals)
+	}
+}
+
+// TestAllowance guards against an allowance that is overdrawn by admitted work
+// or by work that the platform has not reported yet.
+func TestAllowance(t *testing.T) {
+	b := newBench(testConfiguration(), Settings{}, 1, 10)
+	svc := b.services["orders"]
+	svc.allowance = 2000
+	grants, _ := b.ask(testRequest("a", "check", 10))
+	wantEqual(t, "reserved", svc.reservedMs, 1000)
+	for _, g := range grants {
+		b.end(g, messenger.GrantDone, false)
+	}
+	wantEqual(t, "reserved after the end", svc.reservedMs, 0)
+	b.do(Usage{Service: "orders", SlotMs: 500})
+	wantEqual(t, "room for 500", svc.affordable(500), true)
+	wantEqual(t, "room for 501", svc.affordable(501), false)
+	b.wait(12 * time.Second)
+	b.do(Usage{Service: "orders", SlotMs: 1000})
+	wantEqual(t, "room for 1000", svc.affordable(1000), true)
+	wantEqual(t, "room for 1001", svc.affordable(1001), false)
+}
+
+// TestRequeueEdges guards against a cancelled job that is queued again, and a
+// task that nobody queues because its grant was replaced.
+func TestRequeueEdges(t *testing.T) {
+	b := newBench(testConfiguration(), Settings{}, 2, 1)
+	grants, _ := b.ask(testRequest("j", "check", 1))
+	b.from(self, messenger.SlotsRequest{Cancels: []string{"j"}})
+	again, _, needFull := sent(b.end(grants[0], messenger.GrantBusy, true))
+	wantEqual(t, "grants after cancelling", len(again)+len(needFull), 0)
+	_, _, needFull = sent(b.end(grants[0], messenger.GrantBusy, true))
+	wantEqual(t, "registrations asked for", len(needFull), 1)
+}
+
+// TestMemoryDoesNotBlock guards against a large job that waits for a large
+// target and keeps small jobs from the others.
+func TestMemoryDoesNotBlock(t *testing.T) {
+	b := newBench(testConfiguration(), Settings{Order: "fifo"}, 2, 1)
+	vms := testTargets(2, 1)
+	vms[1].MemoryMB = 4000
+	b.do(Targets{VMs: vms})
+	large := testRequest("large", "check", 3)
+	large.DeclaredMemoryMB = 2000
+	grants, _ := b.ask(large)
+	wantEqual(t, "grants of the large job", len(grants), 1)
+	grants, _ = b.ask(testRequest("small", "check", 1))
+	wantEqual(t, "grants of the small job", len(grants), 1)
+}
+
+// TestTakeover guards against a new broker that grants before it knows what
+// the members hold, and one that waits for a silent member for ever.
+func TestTakeover(t *testing.T) {
+	for _, silent := range []bool{true, false} {
+		b := newBench(testConfiguration(), Settings{}, 1, 1)
+		b.do(Assign{Members: []messenger.Member{self, other}})
+		b.do(Assign{Services: []string{"orders"}, Members: []messenger.Member{self, other}})
+		grants, _, _ := sent(b.from(self, messenger.SlotsRequest{Full: true, Requests: []messenger.SlotRequest{testRequest("j", "check", 1)}}))
+		wantEqual(t, "grants at once", len(grants), 0)
+		if silent {
+			grants, _, _ = sent(b.wait(295 * time.Millisecond))
+			wantEqual(t, "grants before 300 ms", len(grants), 0)
+			grants, _, _ = sent(b.wait(5 * time.Millisecond))
+		} else {
+			grants, _, _ = sent(b.from(other, messenger.SlotsRequest{Full: true}))
+		}
+		wantEqual(t, "grants in the end", len(grants), 1)
+	}
+}
+
+// TestProbes guards against probes of targets that answer tasks.
+func TestProbes(t *testing.T) {
+	b := newBench(testConfiguration(), Settings{}, 2, 1)
+	probes := map[string]int{}
+	for i := range 100 {
+		grants, _ := b.ask(testRequest(fmt.Sprint(i), "check", 1))
+		wantEqual(t, "target", grants[0].Target, "10.0.0.1:80")
+		b.end(grants[0], messenger.GrantDone, false)
+		for _, c := range b.wait(100 * time.Millisecond) {
+			if p, ok := c.(Probe); ok {
+				probes[p.Target]++
+			}
+		}
+	}
+	wantEqual(t, "probes of the busy target", probes["10.0.0.1:80"], 0)
+	wantEqual(t, "probes of the idle target in 10 s", probes["10.0.0.2:80"], 4)
+}
+
+// TestSlowTargetLast guards against a slow target that is used like the others.
+func TestSlowTargetLast(t *testing.T) {
+	b := newBench(testConfiguration(), Settings{}, 4, 2)
+	for i := range 20 {
+		grants, _ := b.ask(testRequest(fmt.Sprint(i), "check", 8))
+		for _, g := range grants {
+			run := int64(100)
+			if g.Target == "10.0.0.1:80" {
+				run = 1500
+			}
+			b.from(self, messenger.SlotsRequest{Releases: []messenger.Release{{Grant: g, RequestType: "check", Outcome: messenger.GrantDone, RunMs: run}}})
+		}
+	}
+	grants, _ := b.ask(testRequest("few", "check", 6))
+	for _, g := range grants {
+		if g.Target == "10.0.0.1:80" {
+			t.Fatalf("the slow target got %v", g)
+		}
+	}
+}
--- a/entry/broker/service.go
+++ b/entry/broker/service.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
+	"github.com/godwitrelay/godwitrelay/core/planner"
 )
 
 // service is the broker's state of one service.
@@ -20,6 +21,8 @@
 	targets map[string]*target
 	listed  []*target
 	groups  []*group
+	// nextIndex numbers targets in the order in which they became known.
+	nextIndex int
 	// slots is what the usable targets offer together.
 	slots  int
 	usable int
@@ -37,6 +40,7 @@
 	// urgentUse is the moving average of the slots used by urgent work.
 	urgentUse float64
 
+	types     map[string]planner.RequestType
 	kinds     map[string]*kind
 	kindList  []*kind
 	budgets   map[*team]*budget
--- a/entry/broker/share.go
+++ b/entry/broker/share.go
@@ -3,7 +3,6 @@
 // team is what is known of a team over all services that this entry brokers.
 type team struct {
 	name  string
-	known bool
 	share int
 	inUse int
 	// waitingMs is the estimated run time of the waiting tasks.
@@ -28,18 +27,13 @@
 	for _, t := range s.teams {
 		s.configureTeam(t)
 	}
-	for name := range m.Configuration.Teams {
-		s.team(name)
-	}
 	for _, name := range s.names {
 		s.configureService(s.services[name])
 	}
 }
 
 func (s *State) configureTeam(t *team) {
-	quota, ok := s.configuration.Teams[t.name]
-	t.known = ok
-	t.share = s.configuration.Share(quota.Slots, s.domain)
+	t.share = s.configuration.Share(s.configuration.Teams[t.name].Slots, s.domain)
 }
 
 func (s *State) configureService(svc *service) {
@@ -47,8 +41,9 @@
 	svc.share = s.configuration.Share(c.Slots, s.domain)
 	svc.allowance = c.AllowanceSlotSeconds * 1000
 	svc.domains = max(1, len(s.configuration.FailureDomains))
+	svc.types = c.RequestTypes
 	for _, k := range svc.kindList {
-		k.maxRunMs = c.RequestTypes[k.name].MaxRunMs
+		k.maxRunMs = svc.types[k.name].MaxRunMs
 	}
 	svc.dirty = true
 }
--- a/entry/broker/target.go
+++ b/entry/broker/target.go
@@ -15,6 +15,8 @@
 	slots    int
 	memoryMB int64
 	inUse    int
+	// offered is the limit as it is counted in the service's slots.
+	offered int
 	// others is the number of slots that the target said others hold, until
 	// othersUntil.
 	others      int
@@ -37,6 +39,7 @@
 // take another task.
 type group struct {
 	memoryMB int64
+	members  int
 	free     heap[*target]
 }
 
@@ -86,7 +89,8 @@
 func (s *State) target(svc *service, address string) *target {
 	t := svc.targets[address]
 	if t == nil {
-		t = &target{address: address, index: len(svc.listed), heard: s.now}
+		t = &target{address: address, index: svc.nextIndex, heard: s.now}
+		svc.nextIndex++
 		svc.targets[address] = t
 		svc.listed = append(svc.listed, t)
 		svc.setMemory(t, 0)
@@ -104,6 +108,7 @@
 		return
 	}
 	if t.group != nil {
+		t.group.members--
 		t.group.free.remove(t)
 	}
 	t.memoryMB = memoryMB
@@ -115,11 +120,14 @@
 		svc.relane()
 	}
 	t.group = svc.groups[i]
+	t.group.members++
 	svc.refresh(t)
 }
 
-// refresh puts the target into the set of free ones, moves it or removes it.
+// refresh takes a change of the target into account: what it offers, and its
+// place among the free ones.
 func (svc *service) refresh(t *target) {
+	svc.offer(t, t.limit())
 	free := &t.group.free
 	switch {
 	case !t.hasRoom():
@@ -133,17 +141,16 @@
 	}
 }
 
-// recount adds up what the usable targets offer. Call it after a change of
-// state or size of a target.
-func (svc *service) recount() {
-	svc.slots, svc.usable = 0, 0
-	for _, t := range svc.listed {
-		if n := t.limit(); n > 0 {
-			svc.slots += n
-			svc.usable++
-		}
+// offer records the number of slots that the target adds to the service.
+func (svc *service) offer(t *target, slots int) {
+	svc.slots += slots - t.offered
+	switch {
+	case slots > 0 && t.offered == 0:
+		svc.usable++
+	case slots == 0 && t.offered > 0:
+		svc.usable--
 	}
-	svc.dirty = true
+	t.offered = slots
 }
 
 // list takes the platform's list of targets.
@@ -173,7 +180,21 @@
 	for _, t := range svc.listed {
 		svc.refresh(t)
 	}
-	svc.recount()
+}
+
+// forgetGone drops targets that are off the list and answer no more, or are
+// leaving, once they hold no grant.
+func (svc *service) forgetGone() {
+	svc.listed = slices.DeleteFunc(svc.listed, func(t *target) bool {
+		gone := !t.listed && t.inUse == 0 && (t.unreachable || t.ownLeaving)
+		if gone {
+			svc.offer(t, 0)
+			t.group.members--
+			t.group.free.remove(t)
+			delete(svc.targets, t.address)
+		}
+		return gone
+	})
 }
 
 func (s *State) otherDomain(vm messenger.VM) bool {
@@ -184,23 +205,21 @@
 // of slots held by others: other statuses may have been overtaken by releases
 // from other entries.
 func (s *State) learn(svc *service, t *target, status messenger.TargetStatus, busy bool) {
-	before := t.limit()
 	if status.Slots > 0 {
 		t.slots, t.ownSlots = status.Slots, true
 	}
 	if status.MemoryMB > 0 {
 		svc.setMemory(t, status.MemoryMB)
 	}
-	t.ownLeaving = status.Leaving
+	// Only a probe clears this: a reply may have been sent before the target
+	// began to leave.
+	t.ownLeaving = t.ownLeaving || status.Leaving
 	others := max(0, status.InFlight-t.inUse)
 	if busy {
 		t.others, t.othersUntil = others, s.now+othersMs*ms
 	} else {
 		t.others = min(t.others, others)
 	}
-	if t.limit() != before {
-		svc.recount()
-	}
 }
 
 // othersMs is how long slots held by others are remembered without news.
