--- a/entry/broker/rule_test.go
+++ b/entry/broker/rule_test.go
@@ -310,3 +310,18 @@
 		}
 	}
 }
+
+// TestBusy guards against starts that a target full of foreign work refuses
+// again, and against slots that stay lost when the foreign work has gone.
+func TestBusy(t *testing.T) {
+	for _, status := range []*messenger.TargetStatus{nil, {Slots: 4, InFlight: 4}} {
+		b := newBench(testConfiguration(), Settings{}, 1, 4)
+		grants, _ := b.ask(testRequest("j", "check", 1))
+		more, _, _ := sent(b.from(self, messenger.SlotsRequest{Releases: []messenger.Release{{Grant: grants[0], Outcome: messenger.GrantBusy, Requeue: true, Status: status}}}))
+		wantEqual(t, "grants after busy", len(more), 0)
+		more, _, _ = sent(b.wait(1990 * time.Millisecond))
+		wantEqual(t, "grants within 2 s", len(more), 0)
+		more, _, _ = sent(b.wait(50 * time.Millisecond))
+		wantEqual(t, "grants after 2 s", len(more), 1)
+	}
+}
