--- a/entry/broker/service.go
+++ b/entry/broker/service.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
+	"github.com/godwitrelay/godwitrelay/core/planner"
 )
 
 // service is the broker's state of one service.
@@ -20,6 +21,8 @@
 	targets map[string]*target
 	listed  []*target
 	groups  []*group
+	// nextIndex numbers targets in the order in which they became known.
+	nextIndex int
 	// slots is what the usable targets offer together.
 	slots  int
 	usable int
@@ -30,10 +33,14 @@
 	deadlines heap[*job]
 	waiting   [classes]int
 	inUse     [classes]int
+	// backlog is the time in milliseconds in which the waiting work of a class
+	// and above can be served, as of the start of the present event.
+	backlog   [classes]int64
 	sinceAged int
 	// urgentUse is the moving average of the slots used by urgent work.
 	urgentUse float64
 
+	types     map[string]planner.RequestType
 	kinds     map[string]*kind
 	kindList  []*kind
 	budgets   map[*team]*budget
