entry: learn the targets from other entries during an outage

Cause: entries that started while the platform was down learned the configuration from peers but not the list of targets; as brokers they refused all work as noTarget (scenario new-broker-in-outage, which failed). Change: an entry without a list asks another entry of its failure domain, and is ready only once it has one.

--- a/entry/dispatcher/command.go
+++ b/entry/dispatcher/command.go
@@ -82,6 +82,10 @@
 // ListVMs reads the platform's list. The result comes back as [VMsListed].
 type ListVMs struct{}
 
+// FetchVMs asks another entry for the platform's list as it last read it. The
+// result comes back as [VMsListed].
+type FetchVMs struct{ Address string }
+
 // ReadUsage reads the platform's usage totals. The result comes back as
 // [UsageRead].
 type ReadUsage struct{}
@@ -126,6 +130,7 @@
 func (AppendSnapshot) dispatcherCmd()     {}
 func (FetchConfiguration) dispatcherCmd() {}
 func (ListVMs) dispatcherCmd()            {}
+func (FetchVMs) dispatcherCmd()           {}
 func (ReadUsage) dispatcherCmd()          {}
 func (RenewLease) dispatcherCmd()         {}
 func (Count) dispatcherCmd()              {}
--- a/entry/dispatcher/eventlog.go
+++ b/entry/dispatcher/eventlog.go
@@ -123,7 +123,7 @@
 	for _, m := range []Msg{
 		IssueIDs{}, Submit{}, Fetch{}, Cancel{}, Abandon{}, Forwarded{}, TaskEnded{}, SlotsReceived{},
 		SlotsAnswered{}, GrantsReceived{}, GrantsSent{}, Probed{}, Heard{}, BeatFailed{}, LogRead{},
-		SnapshotAppended{}, ConfigurationFetched{}, ConfigurationAsked{}, VMsListed{}, UsageRead{},
+		SnapshotAppended{}, ConfigurationFetched{}, ConfigurationAsked{}, VMsAsked{}, VMsListed{}, UsageRead{},
 		StatusAsked{}, Drain{}, Tick{},
 	} {
 		types[reflect.TypeOf(m).Name()] = reflect.TypeOf(m)
--- a/entry/dispatcher/membership.go
+++ b/entry/dispatcher/membership.go
@@ -62,6 +62,7 @@
 
 func (s *State) membersChanged(now time.Time, members []messenger.Member) {
 	s.members = slices.Clone(members)
+	s.askVMs()
 	if len(members) > 1 {
 		s.settled = true
 	}
--- a/entry/dispatcher/message.go
+++ b/entry/dispatcher/message.go
@@ -153,8 +153,12 @@
 // ConfigurationAsked asks for the configuration in force.
 type ConfigurationAsked struct{ Waiter Waiter }
 
-// VMsListed is the result of a [ListVMs].
+// VMsAsked asks for the platform's list as this entry last read it.
+type VMsAsked struct{ Waiter Waiter }
+
+// VMsListed is the result of a [ListVMs], or of a [FetchVMs] if Peer is set.
 type VMsListed struct {
+	Peer bool
 	List messenger.VMList
 	Err  *Failure
 }
@@ -192,6 +196,7 @@
 func (SnapshotAppended) dispatcherMsg()     {}
 func (ConfigurationFetched) dispatcherMsg() {}
 func (ConfigurationAsked) dispatcherMsg()   {}
+func (VMsAsked) dispatcherMsg()             {}
 func (VMsListed) dispatcherMsg()            {}
 func (UsageRead) dispatcherMsg()            {}
 func (StatusAsked) dispatcherMsg()          {}
--- a/entry/dispatcher/platform.go
+++ b/entry/dispatcher/platform.go
@@ -9,11 +9,23 @@
 	"github.com/godwitrelay/godwitrelay/entry/gossiper"
 )
 
+// vmsListed takes over the platform's list. An entry that has none, because it
+// starts or the platform is down, also asks another entry of its failure
+// domain.
 func (s *State) vmsListed(now time.Time, msg VMsListed) {
-	s.timers.listing = false
-	if msg.Err != nil {
+	if msg.Peer {
+		s.askingVMs = false
+	} else {
+		s.timers.listing = false
+	}
+	switch {
+	case msg.Err != nil && !msg.Peer:
+		s.askVMs()
+		return
+	case msg.Err != nil, msg.Peer && s.listed:
 		return
 	}
+	s.vms, s.listed = msg.List, true
 	var targets []messenger.VM
 	for _, vm := range msg.List.VMs {
 		if vm.Role == messenger.TargetVM && vm.FailureDomain == s.cfg.FailureDomain {
@@ -24,6 +36,17 @@
 	s.candidates(now, msg.List.VMs)
 }
 
+func (s *State) askVMs() {
+	if s.listed || s.askingVMs {
+		return
+	}
+	others := slices.DeleteFunc(slices.Clone(s.members), func(m messenger.Member) bool { return m == s.cfg.Self })
+	if len(others) > 0 {
+		s.askingVMs = true
+		s.emit(FetchVMs{Address: others[s.rand.IntN(len(others))].Address})
+	}
+}
+
 // candidates tells the membership whom to contact: the entries of the settings,
 // which serve a start during an outage of the platform, and those of the list.
 func (s *State) candidates(now time.Time, vms []messenger.VM) {
--- a/entry/dispatcher/state.go
+++ b/entry/dispatcher/state.go
@@ -48,6 +48,11 @@
 	follower *follower.State
 	// present is the configuration in force.
 	present follower.Accepted
+	// vms is the platform's list as it was last read, and listed tells whether
+	// it ever was. askingVMs is set while another entry is asked for it.
+	vms       messenger.VMList
+	listed    bool
+	askingVMs bool
 	// remote lists peer addresses of other failure domains.
 	remote []string
 
@@ -144,6 +149,8 @@
 		s.logRead(now, msg)
 	case ConfigurationFetched:
 		s.configurationFetched(now, msg)
+	case VMsAsked:
+		s.reply(msg.Waiter, s.vms)
 	case VMsListed:
 		s.vmsListed(now, msg)
 	case UsageRead:
@@ -164,9 +171,10 @@
 	return s.out
 }
 
-// Ready tells whether callers may be sent here.
+// Ready tells whether callers may be sent here: this entry knows the
+// configuration, the targets and the other members, and is not stopping.
 func (s *State) Ready() bool {
-	return s.settled && s.present.Version > 0 && !s.stop.begun
+	return s.settled && s.listed && s.present.Version > 0 && !s.stop.begun
 }
 
 func (s *State) emit(cmd Cmd) { s.out = append(s.out, cmd) }
--- a/entry/listener/listener.go
+++ b/entry/listener/listener.go
@@ -87,6 +87,7 @@
 	mux.HandleFunc("POST /peer/v1/grants", l.grants)
 	mux.HandleFunc("POST /peer/v1/heartbeat", l.heartbeat)
 	mux.HandleFunc("GET /peer/v1/configuration", l.configuration)
+	mux.HandleFunc("GET /peer/v1/vms", l.vms)
 	mux.HandleFunc("/", notFound)
 	return mux
 }
@@ -321,6 +322,12 @@
 	})
 }
 
+func (l *Listener) vms(w http.ResponseWriter, r *http.Request) {
+	l.ask(w, r, controlWait, "", func(n dispatcher.Waiter) dispatcher.Msg {
+		return dispatcher.VMsAsked{Waiter: n}
+	})
+}
+
 func (l *Listener) status(w http.ResponseWriter, r *http.Request) {
 	l.ask(w, r, controlWait, "", func(n dispatcher.Waiter) dispatcher.Msg {
 		return dispatcher.StatusAsked{Waiter: n}
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -161,6 +161,8 @@
 		go r.probe(cmd)
 	case dispatcher.Beat:
 		go r.beat(cmd)
+	case dispatcher.FetchVMs:
+		go r.fetchVMs(cmd)
 	case dispatcher.FetchConfiguration:
 		go r.fetchConfiguration(cmd)
 	case dispatcher.Count:
@@ -267,6 +269,15 @@
 	r.Post(dispatcher.ConfigurationFetched{Accepted: accepted, Err: dispatcher.Fail(err)})
 }
 
+func (r *Runner) fetchVMs(cmd dispatcher.FetchVMs) {
+	var list messenger.VMList
+	err := r.peer(http.MethodGet, cmd.Address, "/peer/v1/vms", nil, &list)
+	if err == nil && len(list.VMs) == 0 {
+		err = errors.Newf("%s has no list of VMs", cmd.Address)
+	}
+	r.Post(dispatcher.VMsListed{Peer: true, List: list, Err: dispatcher.Fail(err)})
+}
+
 func (r *Runner) readLog(cmd dispatcher.ReadLog) {
 	var page messenger.LogPage
 	path := "/v1/log/" + follower.Stream + "?from=" + strconv.FormatInt(cmd.From, 10) + "&limit=" + strconv.Itoa(cmd.Limit)
