Check that no grant comes after a deadline, and the order of commands

Change: the model keeps each job's deadline, and the rule tests have one for busy replies and one for the order of commands.

--- a/entry/broker/model_test.go
+++ b/entry/broker/model_test.go
@@ -45,6 +45,15 @@
 	registered bool
 }
 
+// inMs is the time left; a job past its deadline has the shortest one.
+func (j *entryJob) inMs(now time.Time) int64 { return max(1, j.deadline.Sub(now).Milliseconds()) }
+
+func (j *entryJob) extend(now time.Time, inMs int64) {
+	if d := now.Add(time.Duration(inMs) * time.Millisecond); d.After(j.deadline) {
+		j.deadline = d
+	}
+}
+
 type lateSend struct {
 	Send
 	at time.Time
@@ -53,6 +62,7 @@
 type entryJob struct {
 	messenger.SlotRequest
 	waiting  []int
+	deadline time.Time
 	refused  bool
 	canceled bool
 }
@@ -223,6 +233,9 @@
 	if old, ok := w.live[key]; ok {
 		w.fault("grants %v and %v for one task", old.Grant, g)
 	}
+	if w.at.After(j.deadline) {
+		w.fault("grant %v after the deadline", g)
+	}
 	if w.at.Before(w.ended[g.JobID]) {
 		w.fault("grant %v for a refused or cancelled job", g)
 	}
@@ -308,6 +321,13 @@
 				delete(w.live, k)
 			}
 		}
+		// Times left count from receipt.
+		for _, q := range r.Requests {
+			e.job(q.JobID).extend(w.at, q.DeadlineInMs)
+		}
+		for _, h := range r.Held {
+			e.job(h.Grant.JobID).extend(w.at, h.DeadlineInMs)
+		}
 		if r.Full {
 			e.registered = true
 			w.replace(e, r.Held)
@@ -336,12 +356,12 @@
 	r := messenger.SlotsRequest{Full: true}
 	for _, g := range e.held {
 		j := e.job(g.JobID)
-		r.Held = append(r.Held, messenger.HeldGrant{Grant: g, Team: j.Team, RequestType: j.RequestType, Priority: j.Priority, DeclaredMemoryMB: j.DeclaredMemoryMB, DeadlineInMs: j.DeadlineInMs})
+		r.Held = append(r.Held, messenger.HeldGrant{Grant: g, Team: j.Team, RequestType: j.RequestType, Priority: j.Priority, DeclaredMemoryMB: j.DeclaredMemoryMB, DeadlineInMs: j.inMs(w.at)})
 	}
 	for _, j := range e.jobs {
 		if len(j.waiting) > 0 {
 			q := j.SlotRequest
-			q.Tasks, q.Admitted = slices.Clone(j.waiting), true
+			q.Tasks, q.Admitted, q.DeadlineInMs = slices.Clone(j.waiting), true, j.inMs(w.at)
 			r.Requests = append(r.Requests, q)
 		}
 	}
--- a/entry/broker/property_test.go
+++ b/entry/broker/property_test.go
@@ -102,7 +102,7 @@
 	if b%2 == 1 {
 		r.Priority = messenger.Bulk
 	}
-	e.jobs = append(e.jobs, &entryJob{SlotRequest: r, waiting: slices.Clone(r.Tasks)})
+	e.jobs = append(e.jobs, &entryJob{SlotRequest: r, waiting: slices.Clone(r.Tasks), deadline: w.at.Add(time.Duration(r.DeadlineInMs+1) * time.Millisecond)})
 	w.send(e, messenger.SlotsRequest{Requests: []messenger.SlotRequest{r}})
 }
 
--- a/entry/broker/rule_test.go
+++ b/entry/broker/rule_test.go
@@ -310,3 +310,37 @@
 		}
 	}
 }
+
+// TestBusy guards against starts that a target full of foreign work refuses
+// again, and against slots that stay lost when the foreign work has gone.
+func TestBusy(t *testing.T) {
+	for _, status := range []*messenger.TargetStatus{nil, {Slots: 4, InFlight: 4}} {
+		b := newBench(testConfiguration(), Settings{}, 1, 4)
+		grants, _ := b.ask(testRequest("j", "check", 1))
+		more, _, _ := sent(b.from(self, messenger.SlotsRequest{Releases: []messenger.Release{{Grant: grants[0], Outcome: messenger.GrantBusy, Requeue: true, Status: status}}}))
+		wantEqual(t, "grants after busy", len(more), 0)
+		more, _, _ = sent(b.wait(1990 * time.Millisecond))
+		wantEqual(t, "grants within 2 s", len(more), 0)
+		more, _, _ = sent(b.wait(50 * time.Millisecond))
+		wantEqual(t, "grants after 2 s", len(more), 1)
+	}
+}
+
+// TestOrderOfPeers guards against commands in the order of a map, which would
+// make a recorded run differ when it is replayed.
+func TestOrderOfPeers(t *testing.T) {
+	b := newBench(testConfiguration(), Settings{}, 1, 1)
+	members := []messenger.Member{self}
+	for i := range 20 {
+		members = append(members, messenger.Member{Address: fmt.Sprintf("127.0.1.%02d:1", i), Incarnation: 5})
+	}
+	b.do(Assign{Services: []string{"orders"}, Members: members})
+	for _, m := range members[1:] {
+		b.from(m, messenger.SlotsRequest{Full: true})
+	}
+	_, _, needFull := sent(b.do(Assign{Services: []string{"orders"}, Members: members[:1]}))
+	wantEqual(t, "asked", len(needFull), 20)
+	for i, m := range needFull {
+		wantEqual(t, "order", m, members[i+1])
+	}
+}
