--- a/entry/broker/admission.go
+++ b/entry/broker/admission.go
@@ -124,7 +124,7 @@
 		return messenger.NewError(messenger.UnknownTeam, "")
 	}
 	run := svc.kind(r.RequestType).runMs(r.DeclaredRunMs)
-	if e := s.admitSize(svc, r, run); e != nil {
+	if e := s.admitSize(svc, r); e != nil {
 		return e
 	}
 	if svc.waiting[urgent]+svc.waiting[bulk]+n > s.Settings.MaxWaitingTasks {
@@ -137,15 +137,15 @@
 }
 
 // admitSize refuses what no target can ever run, or none can run now.
-func (s *State) admitSize(svc *service, r *messenger.SlotRequest, run int64) *messenger.Error {
+func (s *State) admitSize(svc *service, r *messenger.SlotRequest) *messenger.Error {
 	if svc.usable == 0 || svc.capacity() == 0 {
 		return messenger.NewError(messenger.NoTarget, "").After(s.spread(noTargetRetryMs))
 	}
 	if r.DeclaredMemoryMB > svc.largestMemory() {
 		return messenger.NewError(messenger.NeverRunnable, "the declared memory is above that of every target")
 	}
-	if r.DeadlineInMs > 0 && run > r.DeadlineInMs {
-		return messenger.NewError(messenger.NeverRunnable, "the run time of a task is above the deadline")
+	if r.DeadlineInMs > 0 && r.DeclaredRunMs/declaredError > r.DeadlineInMs {
+		return messenger.NewError(messenger.NeverRunnable, "the declared run time of a task is far above the deadline")
 	}
 	return nil
 }
@@ -161,6 +161,8 @@
 }
 
 const (
+	// declaredError is the factor by which declared run times are often wrong.
+	declaredError = 5
 	// noTargetRetryMs is about the time in which a target is readmitted.
 	noTargetRetryMs = 1000
 	// allowanceRetryMs is in the order of the lag of usage reports, after which
--- a/entry/broker/estimate.go
+++ b/entry/broker/estimate.go
@@ -62,8 +62,12 @@
 
 // lastRunMs estimates the run time of the last task of a job. A job that has
 // to wait is judged by a high quantile, because it can't recover from a long
-// run; a job that starts at once gets its chance.
+// run; a job that starts at once gets its chance. Until outcomes are known the
+// estimate may be too long by declaredError, which alone must not refuse a job.
 func (k *kind) lastRunMs(mean, wait int64) int64 {
+	if !k.learned() {
+		return mean / declaredError
+	}
 	if wait == 0 {
 		return mean
 	}
--- a/entry/broker/model_test.go
+++ b/entry/broker/model_test.go
@@ -48,6 +48,12 @@
 // inMs is the time left; a job past its deadline has the shortest one.
 func (j *entryJob) inMs(now time.Time) int64 { return max(1, j.deadline.Sub(now).Milliseconds()) }
 
+func (j *entryJob) extend(now time.Time, inMs int64) {
+	if d := now.Add(time.Duration(inMs) * time.Millisecond); d.After(j.deadline) {
+		j.deadline = d
+	}
+}
+
 type lateSend struct {
 	Send
 	at time.Time
@@ -315,6 +321,13 @@
 				delete(w.live, k)
 			}
 		}
+		// Times left count from receipt.
+		for _, q := range r.Requests {
+			e.job(q.JobID).extend(w.at, q.DeadlineInMs)
+		}
+		for _, h := range r.Held {
+			e.job(h.Grant.JobID).extend(w.at, h.DeadlineInMs)
+		}
 		if r.Full {
 			e.registered = true
 			w.replace(e, r.Held)
