--- a/entry/broker/estimate.go
+++ b/entry/broker/estimate.go
@@ -6,6 +6,9 @@
 	// outcomesToTrust is the number of outcomes after which declared values
 	// are no longer used: they are often off by a factor of five.
 	outcomesToTrust = 20
+	// typicalRunMs stands for a run time that is neither declared nor learned:
+	// most tasks take 50 ms to a second.
+	typicalRunMs    = 500
 	meanWeight      = 0.05
 	highQuantile    = 0.95
 )
@@ -46,7 +49,7 @@
 func (k *kind) learned() bool { return k.outcomes >= outcomesToTrust }
 
 // runMs estimates the run time of a task: the mean of outcomes, until there
-// are enough the declared value, or else half of the longest allowed.
+// are enough the declared value, or else a typical one.
 func (k *kind) runMs(declaredMs int64) int64 {
 	switch {
 	case k.learned():
@@ -56,7 +59,7 @@
 	case declaredMs > 0:
 		return declaredMs
 	default:
-		return max(1, k.maxRunMs/2)
+		return max(1, min(typicalRunMs, k.maxRunMs/2))
 	}
 }
 
