--- a/entry/dispatcher/state.go
+++ b/entry/dispatcher/state.go
@@ -48,12 +48,16 @@
 	follower *follower.State
 	// present is the configuration in force.
 	present follower.Accepted
+	// vms is the platform's list as it was last read, and listed tells whether
+	// it ever was. askingVMs is set while another entry is asked for it.
+	vms       messenger.VMList
+	listed    bool
+	askingVMs bool
 	// remote lists peer addresses of other failure domains.
 	remote []string
 
 	members []messenger.Member
-	brokers map[string]messenger.Member
-	links   map[string]*link
+	link    link
 	// sequence numbers the messages to brokers; it grows over all links, so
 	// that a new link to the same broker is not taken for a repeat.
 	sequence uint64
@@ -99,13 +103,12 @@
 		gossiper: gossiper.New(cfg.Self, cfg.FailureDomain, cfg.Gossiper, cfg.Seed),
 		follower: follower.New(),
 		members:  []messenger.Member{cfg.Self},
-		brokers:  map[string]messenger.Member{},
 		held:     map[taskKey]heldTask{},
 		rand:     rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Incarnation)),
 		moreIDs:  map[Waiter]int{},
 
 		untilAdmitted: map[string]Waiter{},
-		links:         map[string]*link{},
+		link:          link{to: cfg.Self, needFull: true},
 		senders:       map[messenger.Member]*sender{},
 		started:       now,
 	}
@@ -146,6 +149,8 @@
 		s.logRead(now, msg)
 	case ConfigurationFetched:
 		s.configurationFetched(now, msg)
+	case VMsAsked:
+		s.reply(msg.Waiter, s.vms)
 	case VMsListed:
 		s.vmsListed(now, msg)
 	case UsageRead:
@@ -166,9 +171,10 @@
 	return s.out
 }
 
-// Ready tells whether callers may be sent here.
+// Ready tells whether callers may be sent here: this entry knows the
+// configuration, the targets and the other members, and is not stopping.
 func (s *State) Ready() bool {
-	return s.settled && s.present.Version > 0 && !s.stop.begun
+	return s.settled && s.listed && s.present.Version > 0 && !s.stop.begun
 }
 
 func (s *State) emit(cmd Cmd) { s.out = append(s.out, cmd) }
