proof: wait for starts that a target records after its caller's answer

Cause: target-closes failed with 0 starts: the connection broke and the caller was told so before the target had recorded the start. Change: expect waits until the number of starts is reached, then compares.

--- a/proof/conductor/work.go
+++ b/proof/conductor/work.go
@@ -285,13 +285,29 @@
 		if err := w.expect(ts, outcome, kind, ran); err != nil {
 			return err
 		}
-		if n, err := d.count(recorder.TaskStarted, w.submission.ID); err != nil || (starts >= 0 && n != starts) {
-			return errors.CombineErrors(err, errors.Newf("%s has %d starts", name, n))
+		if err := d.expectStarts(w, starts); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// expectStarts compares the number of starts of the work. A target may record a
+// start after its caller was told that the target is lost, so that starts that
+// are missing are waited for.
+func (d *Deployment) expectStarts(w *work, starts int) error {
+	if starts > 0 {
+		if err := d.waitRecords(recorder.TaskStarted, w.name, starts); err != nil {
+			return err
+		}
+	}
+	n, err := d.count(recorder.TaskStarted, w.submission.ID)
+	if err == nil && starts >= 0 && n != starts {
+		err = errors.Newf("%s has %d starts", w.name, n)
+	}
+	return err
+}
+
 func (w *work) expect(ts *testscript.TestScript, outcome, kind, ran string) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
