entry: bound the time and memory that one caller can take

Cause: only the header and the body of a submission had a time limit. A body that was announced and not sent held POST /v1/ids, wrong paths and peer messages without end, and net/http held back the answer to a submission whose body had timed out, as the limit was lifted before it drained the rest. POST /v1/ids, /readyz and wrong paths had no limit for taking the answer. The mux answered unclean paths by redirects. Bodies being read had no common limit, a body of 4 MiB could hold two million tasks before they were counted, and refused jobs kept names of any length. A refusal of an unread body or a bad waitMs promised didNotRun although the id's job may have run. Payloads with <, > or & had another digest when they came through another entry.

Change: one guard around all three handlers limits reading and writing, refuses unclean paths and closes the connection after an answer to an unread body. Bodies grow with what has arrived, within heldBytes in all; their first 64 KiB are free, so that small requests still pass. One pass before decoding refuses what is not an object, repeated fields, invalid UTF-8 and too many tasks. Peers and operators have connection limits of their own. New settings: limits.answerWriteMs, peerConnections, operatorConnections. moreIds outside 0 to 1000 is refused. A second reply to a waiter can no longer block the runner's loop. Refusals of the listener, and idExpired, idConflict and notFound, are counted.

--- /dev/null
+++ b/entry/counter_test.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/godwitrelay/godwitrelay/core/messenger"
+)
+
+// refusals reads the refusal counters.
+func refusals(t *testing.T, e liveEntry) map[messenger.Kind]int {
+	t.Helper()
+	w := httptest.NewRecorder()
+	e.metrics.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/metrics", http.NoBody))
+	counts := map[messenger.Kind]int{}
+	for lines := bufio.NewScanner(w.Body); lines.Scan(); {
+		rest, ok := strings.CutPrefix(lines.Text(), `godwitrelay_refusals_total{kind="`)
+		if !ok {
+			continue
+		}
+		kind, value, _ := strings.Cut(rest, `"} `)
+		var n int
+		if _, err := fmt.Sscan(value, &n); err != nil {
+			t.Fatal(err)
+		}
+		counts[messenger.Kind(kind)] = n
+	}
+	return counts
+}
+
+func sum(counts map[messenger.Kind]int) int {
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
--- a/entry/dispatcher/answer.go
+++ b/entry/dispatcher/answer.go
@@ -71,9 +71,9 @@
 	}
 	switch j := s.jobs.Find(msg.Text); {
 	case j == nil && s.jobs.Issuer.Fresh(now, msg.ID.Sequence):
-		s.answer(now, msg.Waiter, messenger.Refusal(msg.Text, messenger.NewError(messenger.NotFound, "no submission has arrived under this id")))
+		s.refuse(now, msg.Waiter, msg.Text, messenger.NewError(messenger.NotFound, "no submission has arrived under this id"))
 	case j == nil:
-		s.answer(now, msg.Waiter, messenger.Refusal(msg.Text, messenger.NewError(messenger.IDExpired, "")))
+		s.refuse(now, msg.Waiter, msg.Text, messenger.NewError(messenger.IDExpired, ""))
 	case j.Finished():
 		s.answer(now, msg.Waiter, *j.Answer)
 	case msg.WaitMs == 0:
@@ -97,7 +97,7 @@
 		s.jobs.Add(j)
 		s.fail(now, j, messenger.NewError(messenger.Cancelled, "the job was cancelled before it was submitted"))
 	case j == nil:
-		s.answer(now, msg.Waiter, messenger.Refusal(msg.Text, messenger.NewError(messenger.IDExpired, "")))
+		s.refuse(now, msg.Waiter, msg.Text, messenger.NewError(messenger.IDExpired, ""))
 	case j.Finished():
 		s.emit(Count{Group: "wasted", Reason: "lateCancel"})
 		s.answer(now, msg.Waiter, *j.Answer)
@@ -128,7 +128,11 @@
 	}
 	s.forwards++
 	f.Waiter = w
-	f.Submission.MoreIDs = 0
+	if _, ok := s.moreIDs[w]; ok {
+		// The ids come from this entry. A number that is not allowed stays, so
+		// that the owner refuses it.
+		f.Submission.MoreIDs = 0
+	}
 	s.emit(Count{Group: "message", Reason: "forward"})
 	s.emit(f)
 }
--- a/entry/dispatcher/submit.go
+++ b/entry/dispatcher/submit.go
@@ -24,8 +24,8 @@
 
 func (s *State) submit(now time.Time, msg Submit) {
 	sub := msg.Submission
-	if sub.MoreIDs > 0 && msg.Waiter != 0 {
-		s.moreIDs[msg.Waiter] = min(sub.MoreIDs, maxIDs)
+	if sub.MoreIDs > 0 && sub.MoreIDs <= maxIDs && msg.Waiter != 0 {
+		s.moreIDs[msg.Waiter] = sub.MoreIDs
 	}
 	if sub.ID == "" {
 		s.submitWithoutID(now, msg)
@@ -43,7 +43,7 @@
 		return
 	}
 	if !s.jobs.Issuer.Use(now, msg.ID.Sequence) {
-		s.answer(now, msg.Waiter, messenger.Refusal(sub.ID, messenger.NewError(messenger.IDExpired, "")))
+		s.refuse(now, msg.Waiter, sub.ID, messenger.NewError(messenger.IDExpired, ""))
 		return
 	}
 	s.open(now, msg)
@@ -72,7 +72,7 @@
 func (s *State) join(now time.Time, j *registrar.Job, msg Submit) {
 	switch {
 	case j.Digest != msg.Digest:
-		s.answer(now, msg.Waiter, messenger.Refusal(j.ID, messenger.NewError(messenger.IDConflict, "")))
+		s.refuse(now, msg.Waiter, j.ID, messenger.NewError(messenger.IDConflict, ""))
 	case j.Finished():
 		s.answer(now, msg.Waiter, *j.Answer)
 	case msg.Submission.Wait:
@@ -135,6 +135,8 @@
 		return messenger.NewError(messenger.BadRequest, fmt.Sprintf("deadlineMs: %d, allowed: 0 to %d", sub.DeadlineMs, s.cfg.MaxDeadline.Milliseconds()))
 	case sub.DeclaredRunMs < 0 || sub.DeclaredMemoryMB < 0:
 		return messenger.NewError(messenger.BadRequest, "declaredRunMs, declaredMemoryMB: must not be negative")
+	case sub.MoreIDs < 0 || sub.MoreIDs > maxIDs:
+		return messenger.NewError(messenger.BadRequest, fmt.Sprintf("moreIds: %d, allowed: 0 to %d", sub.MoreIDs, maxIDs))
 	case sub.Priority != "" && sub.Priority != messenger.Urgent && sub.Priority != messenger.Bulk:
 		return messenger.NewError(messenger.BadRequest, fmt.Sprintf("priority: %q, allowed: urgent, bulk", sub.Priority))
 	case sub.Priority == messenger.Urgent && rt.Priority == messenger.Bulk:
--- /dev/null
+++ b/entry/listener/body_test.go
@@ -0,0 +1,64 @@
+package listener
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/godwitrelay/godwitrelay/core/messenger"
+)
+
+// Guards against slow callers with large bodies that together take the
+// process's memory, and against small bodies refused on their account.
+func TestReadingLimit(t *testing.T) {
+	l := &Listener{MaxReadingBytes: 1 << 20}
+	const others = 1<<20 - 100_000
+	l.fromCallers.Add(others)
+	cases := []struct {
+		name  string
+		size  int
+		limit int64
+		kind  messenger.Kind
+	}{
+		{"small", 60_000, 1 << 20, ""},
+		{"within the limit", 90_000, 90_000, ""},
+		{"over what is left", 200_000, 1 << 20, messenger.Overloaded},
+		{"over the body's own limit", 70_000, 69_999, messenger.TooLarge},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", strings.NewReader(strings.Repeat("x", c.size)))
+			r.ContentLength = -1
+			body, free, e := l.readBody(r, c.limit, &l.fromCallers)
+			switch {
+			case c.kind == "" && (e != nil || len(body) != c.size):
+				t.Errorf("got %d bytes and %v", len(body), e)
+			case c.kind != "" && (e == nil || e.Kind != c.kind):
+				t.Errorf("got %v, want %s", e, c.kind)
+			}
+			free()
+			if n := l.fromCallers.Load(); n != others {
+				t.Errorf("%d bytes stay counted", n-others)
+			}
+		})
+	}
+}
+
+// Guards against an idConflict for a repeat that arrives by another entry: the
+// encoder escapes characters that the caller did not.
+func TestDigestOfForwarded(t *testing.T) {
+	sub := messenger.Submission{Team: "a", Tasks: []json.RawMessage{json.RawMessage("{ \"v\": \"<&>\u2028\xff\" }"), json.RawMessage("null")}}
+	data, err := json.Marshal(sub)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var forwarded messenger.Submission
+	if e := messenger.DecodeBytes(data, &forwarded); e != nil {
+		t.Fatal(e)
+	}
+	if Digest(sub) != Digest(forwarded) {
+		t.Errorf("the digest of %s differs from that of %s", sub.Tasks[0], forwarded.Tasks[0])
+	}
+}
--- a/entry/listener/listener.go
+++ b/entry/listener/listener.go
@@ -10,9 +10,10 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
-	"io"
+	"math"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/godwitrelay/godwitrelay/core/identifier"
@@ -27,8 +28,10 @@
 	maxPeerBytes = 64 << 20
 	// maxWait bounds how long a fetch may wait.
 	maxWait = 10 * time.Minute
-	// writeTimeout bounds the time in which a caller must take its answer.
-	writeTimeout = 30 * time.Second
+	// maxIDsBytes bounds the body of a request for ids.
+	maxIDsBytes = 1 << 10
+	// readingRetryMs is the advice to a caller whose body found no room.
+	readingRetryMs = 500
 	// fetchSlack is added to a fetch's wait: the time for the reducer, or for
 	// the owner of the id, to answer.
 	fetchSlack = time.Second
@@ -50,10 +53,21 @@
 	Metrics *exporter.Exporter
 	// MaxBodyBytes bounds the body of a submission.
 	MaxBodyBytes int64
-	// BodyRead bounds the time for reading that body.
+	// MaxReadingBytes bounds the bytes of all bodies that are being read from
+	// callers, and as many from peers.
+	MaxReadingBytes int64
+	// MaxTasks bounds the tasks of a submission.
+	MaxTasks int
+	// BodyRead bounds the time for reading a body.
 	BodyRead time.Duration
+	// AnswerWrite bounds the time in which a caller must take its answer.
+	AnswerWrite time.Duration
 	// MaxDeadline bounds how long a submission is waited for.
 	MaxDeadline time.Duration
+
+	// fromCallers and fromPeers count the bytes of bodies that are being read,
+	// so that callers can't keep out messages between entries.
+	fromCallers, fromPeers atomic.Int64
 }
 
 // Callers returns the handler for callers.
@@ -64,17 +78,15 @@
 	mux.HandleFunc("GET /v1/jobs/{id}", func(w http.ResponseWriter, r *http.Request) { l.fetch(w, r, false) })
 	mux.HandleFunc("DELETE /v1/jobs/{id}", func(w http.ResponseWriter, r *http.Request) { l.cancel(w, r, false) })
 	mux.HandleFunc("GET /readyz", l.readyz)
-	mux.HandleFunc("/", notFound)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("/", l.notFound)
+	return l.guard(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !l.Runner.Ready() {
 			// Callers of an entry that starts or stops should connect anew,
 			// so that the balancer can choose another.
 			w.Header().Set("Connection", "close")
 		}
-		// The deadline that the last answer on this connection set has to go.
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 		mux.ServeHTTP(w, r)
-	})
+	}))
 }
 
 // Peers returns the handler for other entries.
@@ -87,8 +99,8 @@
 	mux.HandleFunc("POST /peer/v1/grants", l.grants)
 	mux.HandleFunc("POST /peer/v1/heartbeat", l.heartbeat)
 	mux.HandleFunc("GET /peer/v1/configuration", l.configuration)
-	mux.HandleFunc("/", notFound)
-	return mux
+	mux.HandleFunc("/", l.notFound)
+	return l.guard(mux)
 }
 
 // Operators returns the handler for operators.
@@ -102,21 +114,22 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", l.readyz)
 	mux.HandleFunc("GET /metrics", l.metrics)
-	mux.HandleFunc("/", notFound)
-	return mux
+	mux.HandleFunc("/", l.notFound)
+	return l.guard(mux)
 }
 
-func notFound(w http.ResponseWriter, r *http.Request) {
-	refuse(w, "", messenger.NewError(messenger.NotFound, fmt.Sprintf("no such path or method: %s %s", r.Method, r.URL.Path)).NotRun())
+func (l *Listener) notFound(w http.ResponseWriter, r *http.Request) {
+	l.refuse(w, "", messenger.NewError(messenger.NotFound, fmt.Sprintf("no such path or method: %s %s", r.Method, shorten(r.URL.Path))).NotRun())
 }
 
-func refuse(w http.ResponseWriter, id string, e *messenger.Error) {
-	reply(w, messenger.Refusal(id, e))
+// refuse answers a request that the reducer does not see, and counts it: the
+// reducer counts the refusals of its own.
+func (l *Listener) refuse(w http.ResponseWriter, id string, e *messenger.Error) {
+	l.Metrics.Count("refusal", string(e.Kind))
+	reply(w, messenger.Refusal(shorten(id), e))
 }
 
 func reply(w http.ResponseWriter, a messenger.Answer) {
-	// A caller that does not read its answer must not hold the connection.
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	if a.Error != nil && a.Error.RetryAfterMs > 0 {
 		seconds := (a.Error.RetryAfterMs + 999) / 1000
 		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
@@ -134,12 +147,11 @@
 
 func (l *Listener) issueIDs(w http.ResponseWriter, r *http.Request) {
 	var req messenger.IDsRequest
-	if e := messenger.Decode(r.Body, 1<<10, &req); e != nil {
-		refuse(w, "", e)
+	if !l.decode(w, r, maxIDsBytes, &l.fromCallers, &req) {
 		return
 	}
 	if req.Count < 1 || req.Count > 1000 {
-		refuse(w, "", messenger.NewError(messenger.BadRequest, fmt.Sprintf("count: %d, allowed: 1 to 1000", req.Count)))
+		l.refuse(w, "", messenger.NewError(messenger.BadRequest, fmt.Sprintf("count: %d, allowed: 1 to 1000", req.Count)))
 		return
 	}
 	l.ask(w, r, controlWait, "", func(n dispatcher.Waiter) dispatcher.Msg {
@@ -148,47 +160,57 @@
 }
 
 func (l *Listener) submit(w http.ResponseWriter, r *http.Request, forwarded bool) {
-	body, err := l.readBody(w, r)
-	if err != nil {
-		refuse(w, "", messenger.NewError(messenger.BadRequest, "the body could not be read: "+err.Error()))
+	msg, e := l.submission(r, forwarded)
+	if e != nil {
+		l.refuse(w, msg.Submission.ID, e)
 		return
 	}
-	if int64(len(body)) > l.MaxBodyBytes {
-		refuse(w, "", messenger.NewError(messenger.TooLarge, fmt.Sprintf("the body is over %d bytes", l.MaxBodyBytes)))
-		return
+	l.ask(w, r, l.MaxDeadline, msg.Submission.ID, func(n dispatcher.Waiter) dispatcher.Msg {
+		msg.Waiter = n
+		return msg
+	})
+}
+
+// submission reads a submission. What it refuses, it refuses from the body
+// alone, so that every copy of the same body is refused.
+func (l *Listener) submission(r *http.Request, forwarded bool) (dispatcher.Submit, *messenger.Error) {
+	msg := dispatcher.Submit{Forwarded: forwarded}
+	limit, reading := l.MaxBodyBytes, &l.fromCallers
+	if forwarded {
+		// The forwarding entry has checked the size. Its encoding of the same
+		// payloads may be longer, as it escapes some characters.
+		limit, reading = maxPeerBytes, &l.fromPeers
+	}
+	body, free, e := l.readBody(r, limit, reading)
+	defer free()
+	if e != nil {
+		return msg, e
+	}
+	if e := checkOutline(body, l.MaxTasks); e != nil {
+		return msg, e
 	}
 	var sub messenger.Submission
 	if e := messenger.DecodeBytes(body, &sub); e != nil {
-		refuse(w, "", e)
-		return
+		e.Message = shorten(e.Message)
+		return msg, e
+	}
+	msg.Submission, msg.Digest, msg.Bytes = sub, Digest(sub), int64(len(body))
+	if e := checkText(sub); e != nil {
+		return msg, e
 	}
-	msg := dispatcher.Submit{Submission: sub, Digest: Digest(sub), Bytes: int64(len(body)), Forwarded: forwarded}
 	if sub.ID != "" {
+		var err error
 		if msg.ID, err = l.Signer.Parse(sub.ID); err != nil {
-			refuse(w, sub.ID, messenger.NewError(messenger.BadID, ""))
-			return
+			return msg, messenger.NewError(messenger.BadID, "")
 		}
 	}
-	l.ask(w, r, l.MaxDeadline, sub.ID, func(n dispatcher.Waiter) dispatcher.Msg {
-		msg.Waiter = n
-		return msg
-	})
-}
-
-// readBody reads the body within its time limit. The limit is lifted
-// afterwards: a read deadline that passes while the job runs would cancel the
-// request's context.
-func (l *Listener) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(l.BodyRead))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	return io.ReadAll(io.LimitReader(r.Body, l.MaxBodyBytes+1))
+	return msg, nil
 }
 
 // Digest returns the digest of what a repeated submission must share with the
 // first: team, service, request type and payloads. Hints, deadlines and the
-// way of waiting may differ. Payloads are compared without insignificant white
-// space, which a forwarding entry drops.
+// way of waiting may differ. Payloads are compared as a forwarding entry encodes
+// them: without insignificant white space and with some characters escaped.
 func Digest(sub messenger.Submission) [32]byte {
 	h := sha256.New()
 	var size [8]byte
@@ -200,14 +222,16 @@
 	write([]byte(sub.Team))
 	write([]byte(sub.Service))
 	write([]byte(sub.RequestType))
-	var compact bytes.Buffer
+	var compact, escaped bytes.Buffer
 	for _, p := range sub.Tasks {
 		compact.Reset()
+		escaped.Reset()
 		if json.Compact(&compact, p) != nil {
 			write(p)
 			continue
 		}
-		write(compact.Bytes())
+		json.HTMLEscape(&escaped, compact.Bytes())
+		write(escaped.Bytes())
 	}
 	return [32]byte(h.Sum(nil))
 }
@@ -221,7 +245,7 @@
 	if q := r.URL.Query().Get("waitMs"); q != "" {
 		var err error
 		if wait, err = strconv.ParseInt(q, 10, 64); err != nil || wait < 0 || wait > maxWait.Milliseconds() {
-			refuse(w, text, messenger.NewError(messenger.BadRequest, fmt.Sprintf("waitMs: %q, allowed: 0 to %d", q, maxWait.Milliseconds())))
+			l.refuse(w, text, unsure(messenger.NewError(messenger.BadRequest, fmt.Sprintf("waitMs: %q, allowed: 0 to %d", shorten(q), maxWait.Milliseconds()))))
 			return
 		}
 	}
@@ -250,9 +274,13 @@
 
 func (l *Listener) pathID(w http.ResponseWriter, r *http.Request) (string, identifier.ID, bool) {
 	text := r.PathValue("id")
+	if r.ContentLength != 0 {
+		l.refuse(w, text, unsure(messenger.NewError(messenger.BadRequest, "a "+r.Method+" request has no body")))
+		return text, identifier.ID{}, false
+	}
 	id, err := l.Signer.Parse(text)
 	if err != nil {
-		refuse(w, text, messenger.NewError(messenger.BadID, ""))
+		l.refuse(w, text, messenger.NewError(messenger.BadID, ""))
 		return text, id, false
 	}
 	return text, id, true
@@ -266,7 +294,7 @@
 	v, n, err := l.Runner.Ask(ctx, build)
 	if err != nil {
 		l.Runner.Post(dispatcher.Abandon{Waiter: n, JobID: jobID})
-		refuse(w, jobID, messenger.NewError(messenger.Internal, err.Error()))
+		l.refuse(w, jobID, messenger.NewError(messenger.Internal, err.Error()))
 		return
 	}
 	respond(w, v)
@@ -282,7 +310,7 @@
 
 func (l *Listener) slots(w http.ResponseWriter, r *http.Request) {
 	var req messenger.SlotsRequest
-	if !decodePeer(w, r, &req) {
+	if !l.decode(w, r, maxPeerBytes, &l.fromPeers, &req) {
 		return
 	}
 	l.ask(w, r, controlWait, "", func(n dispatcher.Waiter) dispatcher.Msg {
@@ -292,7 +320,7 @@
 
 func (l *Listener) grants(w http.ResponseWriter, r *http.Request) {
 	var req messenger.GrantsRequest
-	if !decodePeer(w, r, &req) {
+	if !l.decode(w, r, maxPeerBytes, &l.fromPeers, &req) {
 		return
 	}
 	v, _, err := l.Runner.Ask(r.Context(), func(n dispatcher.Waiter) dispatcher.Msg {
@@ -307,7 +335,7 @@
 
 func (l *Listener) heartbeat(w http.ResponseWriter, r *http.Request) {
 	var beat messenger.Heartbeat
-	if !decodePeer(w, r, &beat) {
+	if !l.decode(w, r, maxPeerBytes, &l.fromPeers, &beat) {
 		return
 	}
 	l.ask(w, r, controlWait, "", func(n dispatcher.Waiter) dispatcher.Msg {
@@ -337,9 +365,19 @@
 	l.Metrics.Handler().ServeHTTP(w, r)
 }
 
-func decodePeer(w http.ResponseWriter, r *http.Request, v any) bool {
-	if e := messenger.Decode(r.Body, maxPeerBytes, v); e != nil {
-		refuse(w, "", e)
+// decode reads a body that is one JSON value, or refuses it.
+func (l *Listener) decode(w http.ResponseWriter, r *http.Request, limit int64, reading *atomic.Int64, v any) bool {
+	body, free, e := l.readBody(r, limit, reading)
+	defer free()
+	if e == nil {
+		e = checkOutline(body, math.MaxInt)
+	}
+	if e == nil {
+		e = messenger.DecodeBytes(body, v)
+	}
+	if e != nil {
+		e.Message = shorten(e.Message)
+		l.refuse(w, "", e)
 		return false
 	}
 	return true
--- a/entry/main.go
+++ b/entry/main.go
@@ -6,9 +6,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"net"
-	"net/http"
-	_ "net/http/pprof" // served on profileAddress only
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -38,8 +35,7 @@
 	shutdownTimeout   = 10 * time.Second
 	// gcPercent trades memory for processor time: most of the heap is garbage
 	// of finished requests.
-	gcPercent   = 400
-	idleTimeout = 2 * time.Minute
+	gcPercent = 400
 )
 
 func main() {
@@ -91,15 +87,13 @@
 	if err != nil {
 		return err
 	}
-	l := &listener.Listener{
-		Runner: r, Signer: identifier.Signer{Key: cfg.key}, Metrics: r.Metrics,
-		MaxBodyBytes: cfg.Limits.BodyBytes, BodyRead: ms(cfg.Limits.BodyReadMs),
-		MaxDeadline: ms(cfg.Limits.MaxDeadlineMs),
-	}
-	servers, err := serve(cfg, l, log)
+	servers, err := listen(cfg, newListener(cfg, r))
 	if err != nil {
 		return err
 	}
+	for _, s := range servers {
+		go s.serve(log)
+	}
 	go stopOnSignal(r, log)
 	log.Infof("entry: %s serves callers on %s, peers on %s, operators on %s", cfg.Name, cfg.CallerAddress, cfg.PeerAddress, cfg.OperatorAddress)
 	go r.Run()
@@ -162,6 +156,15 @@
 	return r, nil
 }
 
+func newListener(cfg settings, r *runner.Runner) *listener.Listener {
+	return &listener.Listener{
+		Runner: r, Signer: identifier.Signer{Key: cfg.key}, Metrics: r.Metrics,
+		MaxBodyBytes: cfg.Limits.BodyBytes, MaxReadingBytes: cfg.Limits.HeldBytes, MaxTasks: int(cfg.Limits.TasksPerJob),
+		BodyRead: ms(cfg.Limits.BodyReadMs), AnswerWrite: ms(cfg.Limits.AnswerWriteMs),
+		MaxDeadline: ms(cfg.Limits.MaxDeadlineMs),
+	}
+}
+
 // choicesOf returns the reducer's settings for a new incarnation.
 func choicesOf(cfg settings) dispatcher.Settings {
 	incarnation := randomUint64()
@@ -183,45 +186,3 @@
 	_, _ = rand.Read(b[:])
 	return binary.BigEndian.Uint64(b[:]) | 1
 }
-
-// serve opens every listener before it serves any, so that an address in use
-// stops the start.
-func serve(cfg settings, l *listener.Listener, log *logrus.Logger) ([]*http.Server, error) {
-	type part struct {
-		field, address string
-		handler        http.Handler
-		connections    int64
-	}
-	parts := []part{
-		{"callerAddress", cfg.CallerAddress, l.Callers(), cfg.Limits.Connections},
-		{"peerListen", cfg.PeerListen, l.Peers(), 0},
-		{"operatorAddress", cfg.OperatorAddress, l.Operators(), 0},
-	}
-	if cfg.ProfileAddress != "" {
-		parts = append(parts, part{"profileAddress", cfg.ProfileAddress, http.DefaultServeMux, 0})
-	}
-	var servers []*http.Server
-	var listeners []net.Listener
-	for _, p := range parts {
-		ln, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", p.address)
-		if err != nil {
-			return nil, errors.Wrapf(err, "%s %s", p.field, p.address)
-		}
-		if p.connections > 0 {
-			ln = listener.Bound(ln, p.connections)
-		}
-		listeners = append(listeners, ln)
-		servers = append(servers, &http.Server{
-			Addr: p.address, Handler: p.handler, IdleTimeout: idleTimeout,
-			MaxHeaderBytes: int(cfg.Limits.HeaderBytes), ReadHeaderTimeout: ms(cfg.Limits.HeaderReadMs),
-		})
-	}
-	for i, s := range servers {
-		go func() {
-			if err := s.Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) {
-				log.Errorf("entry: serving %s: %v", s.Addr, err)
-			}
-		}()
-	}
-	return servers, nil
-}
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -146,7 +146,9 @@
 func (r *Runner) perform(cmd dispatcher.Cmd) {
 	switch cmd := cmd.(type) {
 	case dispatcher.Reply:
-		if ch, ok := r.waiters.Load(cmd.Waiter); ok {
+		// The waiter is taken out first, so that a second reply to it can't
+		// block the loop.
+		if ch, ok := r.waiters.LoadAndDelete(cmd.Waiter); ok {
 			ch.(chan any) <- cmd.Value
 		}
 	case dispatcher.StartTask:
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -40,16 +40,19 @@
 
 // limits bound what callers can make an entry hold.
 type limits struct {
-	BodyBytes         int64 `json:"bodyBytes"`
-	HeaderBytes       int64 `json:"headerBytes"`
-	HeaderReadMs      int64 `json:"headerReadMs"`
-	BodyReadMs        int64 `json:"bodyReadMs"`
-	TasksPerJob       int64 `json:"tasksPerJob"`
-	HeldBytes         int64 `json:"heldBytes"`
-	AnswerBytes       int64 `json:"answerBytes"`
-	DefaultDeadlineMs int64 `json:"defaultDeadlineMs"`
-	MaxDeadlineMs     int64 `json:"maxDeadlineMs"`
-	Connections       int64 `json:"connections"`
+	BodyBytes           int64 `json:"bodyBytes"`
+	HeaderBytes         int64 `json:"headerBytes"`
+	HeaderReadMs        int64 `json:"headerReadMs"`
+	BodyReadMs          int64 `json:"bodyReadMs"`
+	AnswerWriteMs       int64 `json:"answerWriteMs"`
+	TasksPerJob         int64 `json:"tasksPerJob"`
+	HeldBytes           int64 `json:"heldBytes"`
+	AnswerBytes         int64 `json:"answerBytes"`
+	DefaultDeadlineMs   int64 `json:"defaultDeadlineMs"`
+	MaxDeadlineMs       int64 `json:"maxDeadlineMs"`
+	Connections         int64 `json:"connections"`
+	PeerConnections     int64 `json:"peerConnections"`
+	OperatorConnections int64 `json:"operatorConnections"`
 }
 
 // Check fills in defaults and records every fault.
@@ -97,12 +100,15 @@
 	f.Range("limits.headerBytes", &l.HeaderBytes, 16<<10, 1024, 1<<20)
 	f.Range("limits.headerReadMs", &l.HeaderReadMs, 5000, 10, 60_000)
 	f.Range("limits.bodyReadMs", &l.BodyReadMs, 15_000, 10, 600_000)
+	f.Range("limits.answerWriteMs", &l.AnswerWriteMs, 30_000, 10, 600_000)
 	f.Range("limits.tasksPerJob", &l.TasksPerJob, 1300, 1, 100_000)
 	f.Range("limits.heldBytes", &l.HeldBytes, 256<<20, 1<<20, 64<<30)
 	f.Range("limits.answerBytes", &l.AnswerBytes, 64<<20, 1<<20, 64<<30)
 	f.Range("limits.defaultDeadlineMs", &l.DefaultDeadlineMs, 30_000, 1, 600_000)
 	f.Range("limits.maxDeadlineMs", &l.MaxDeadlineMs, 300_000, 1, 3_600_000)
 	f.Range("limits.connections", &l.Connections, 4096, 1, 1_000_000)
+	f.Range("limits.peerConnections", &l.PeerConnections, 4096, 1, 1_000_000)
+	f.Range("limits.operatorConnections", &l.OperatorConnections, 256, 1, 1_000_000)
 }
 
 func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
