entry/registrar: bound the memory of used ids, count error messages

Cause: the base of the bit set of used ids did not move past words that were never written, so that the first use after many unused ids took memory for all of them. The text of a kept error was not counted in Bytes. Change: the base follows the watermark; Finish counts the message. Test: gopter properties of Issuer (no second use, none under the watermark, lifetime and memory of one keeping period, with time jumps) and of Registrar (exact bytes, answers within AnswerBytes, deadlines in order, nothing left at the end). Both failed before the change.

--- a/entry/registrar/issuer.go
+++ b/entry/registrar/issuer.go
@@ -95,10 +95,9 @@
 		return
 	}
 	i.batches = i.batches[n:]
+	// The base moves even where no words are held: ids that were issued and
+	// never used must not take memory when a later one is used.
 	drop := (i.watermark - i.usedBase) / 64
-	if drop > uint64(len(i.used)) {
-		drop = uint64(len(i.used))
-	}
-	i.used = append([]uint64(nil), i.used[drop:]...)
+	i.used = append([]uint64(nil), i.used[min(drop, uint64(len(i.used))):]...)
 	i.usedBase += drop * 64
 }
--- a/entry/registrar/registrar.go
+++ b/entry/registrar/registrar.go
@@ -71,6 +71,9 @@
 	for _, result := range answer.Results {
 		j.Bytes += int64(len(result))
 	}
+	if answer.Error != nil {
+		j.Bytes += int64(len(answer.Error.Message))
+	}
 	r.Bytes += j.Bytes
 	j.Answer, j.Ended = &answer, now
 	j.Payloads, j.Results, j.Tasks, j.Waiters, j.Hints = nil, nil, nil, nil, messenger.Submission{}
