entry: bound the broker's and the membership's settings

Cause: numbers under broker and gossiper were taken as they were: WithDefaults replaces only zeros, so that a negative lease or fan-out reached the reducers. Lists of seeds did not say which element is wrong, an address that no process can be reached at was accepted, and a wrong idKey was printed into the log. Change: every number has bounds; seeds are named by index; peerAddress, platform and seeds need a port and a specified IP number; of idKey only the length is shown; defaultDeadlineMs must not be above maxDeadlineMs and follows it when absent.

--- /dev/null
+++ b/entry/check.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/godwitrelay/godwitrelay/core/identifier"
+	"github.com/godwitrelay/godwitrelay/core/loader"
+	"github.com/godwitrelay/godwitrelay/entry/broker"
+	"github.com/godwitrelay/godwitrelay/entry/gossiper"
+)
+
+// Check fills in defaults and records every fault.
+func (s *settings) Check(f *loader.Faults) {
+	f.Name("name", s.Name)
+	f.Name("failureDomain", s.FailureDomain)
+	if s.Region != "" {
+		f.Name("region", s.Region)
+	}
+	s.checkAddresses(f)
+	var err error
+	if s.key, err = identifier.ParseKey(s.IDKey); err != nil {
+		// The value is a secret that must not reach a log.
+		f.Add("idKey", fmt.Sprintf("%d characters", len(s.IDKey)), "at least 32 hexadecimal digits, an even number")
+	}
+	f.OneOf("logLevel", &s.LogLevel, "info", "debug", "warning", "error")
+	f.Range("answerKeepMs", &s.AnswerKeepMs, 60_000, 100, 3_600_000)
+	f.Range("idKeepMs", &s.IDKeepMs, 600_000, 1000, 86_400_000)
+	f.Range("balancerNoticeMs", &s.BalancerNotice, 3000, 1, 300_000)
+	f.Range("stopLingerMs", &s.StopLingerMs, 5000, 1, 600_000)
+	f.Range("leaseMs", &s.LeaseMs, 10_000, 100, 600_000)
+	checkBroker(f, &s.Broker)
+	checkGossiper(f, s.Gossiper)
+	s.Limits.check(f)
+}
+
+func (s *settings) checkAddresses(f *loader.Faults) {
+	if s.PeerListen == "" {
+		s.PeerListen = s.PeerAddress
+	}
+	f.Address("callerAddress", s.CallerAddress)
+	f.Address("peerListen", s.PeerListen)
+	f.Address("operatorAddress", s.OperatorAddress)
+	if s.ProfileAddress != "" {
+		f.Address("profileAddress", s.ProfileAddress)
+	}
+	reachable(f, "peerAddress", s.PeerAddress)
+	if s.Platform != "" {
+		reachable(f, "platform", s.Platform)
+	}
+	for i, a := range s.Seeds {
+		reachable(f, fmt.Sprintf("seeds[%d]", i), a)
+	}
+	for i, a := range s.RemoteSeeds {
+		reachable(f, fmt.Sprintf("remoteSeeds[%d]", i), a)
+	}
+}
+
+// reachable checks an address that other processes connect to: it needs a port,
+// and an IP number that is not the unspecified one.
+func reachable(f *loader.Faults, field, value string) {
+	a, err := netip.ParseAddrPort(value)
+	if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
+		f.Add(field, value, "the IP number and port of one process, such as 10.0.0.7:7000")
+	}
+}
+
+// within checks a number whose 0 means the default of its package.
+func within(f *loader.Faults, field string, n, low, high int64) {
+	if n != 0 && (n < low || n > high) {
+		f.Add(field, n, fmt.Sprintf("%d to %d", low, high))
+	}
+}
+
+func checkBroker(f *loader.Faults, b *broker.Settings) {
+	f.OneOf("broker.routing", &b.Routing, "broker", "random", "leastInFlight", "twoChoices")
+	f.OneOf("broker.order", &b.Order, "fewestLeft", "fifo")
+	// -1 means no reserve. Bulk work would never run at 100.
+	within(f, "broker.urgentReservePercent", int64(b.UrgentReservePercent), -1, 99)
+	within(f, "broker.bulkAgeMs", b.BulkAgeMs, 1, 3_600_000)
+	within(f, "broker.bulkShare", int64(b.BulkShare), 1, 1000)
+	within(f, "broker.leaseMs", b.LeaseMs, 10, 600_000)
+	within(f, "broker.maxWaitingTasks", int64(b.MaxWaitingTasks), 1, 10_000_000)
+}
+
+func checkGossiper(f *loader.Faults, g gossiper.Settings) {
+	within(f, "gossiper.heartbeatMs", g.HeartbeatMs, 10, 10_000)
+	within(f, "gossiper.remoteMs", g.RemoteMs, 10, 60_000)
+	within(f, "gossiper.suspectMs", g.SuspectMs, 20, 60_000)
+	within(f, "gossiper.forgetMs", g.ForgetMs, 20, 600_000)
+	within(f, "gossiper.fanOut", int64(g.FanOut), 1, 64)
+	if g.HeartbeatMs > 0 && g.SuspectMs > 0 && g.SuspectMs < g.HeartbeatMs {
+		f.Add("gossiper.suspectMs", g.SuspectMs, "at least gossiper.heartbeatMs")
+	}
+	if g.SuspectMs > 0 && g.ForgetMs > 0 && g.ForgetMs < g.SuspectMs {
+		f.Add("gossiper.forgetMs", g.ForgetMs, "at least gossiper.suspectMs")
+	}
+}
+
+func (l *limits) check(f *loader.Faults) {
+	f.Range("limits.bodyBytes", &l.BodyBytes, 4<<20, 1024, 64<<20)
+	f.Range("limits.headerBytes", &l.HeaderBytes, 16<<10, 1024, 1<<20)
+	f.Range("limits.headerReadMs", &l.HeaderReadMs, 5000, 10, 60_000)
+	f.Range("limits.bodyReadMs", &l.BodyReadMs, 15_000, 10, 600_000)
+	f.Range("limits.answerWriteMs", &l.AnswerWriteMs, 30_000, 10, 600_000)
+	f.Range("limits.tasksPerJob", &l.TasksPerJob, 1300, 1, 100_000)
+	f.Range("limits.heldBytes", &l.HeldBytes, 256<<20, 1<<20, 64<<30)
+	f.Range("limits.answerBytes", &l.AnswerBytes, 64<<20, 1<<20, 64<<30)
+	f.Range("limits.maxDeadlineMs", &l.MaxDeadlineMs, 300_000, 1, 3_600_000)
+	f.Range("limits.defaultDeadlineMs", &l.DefaultDeadlineMs, min(30_000, max(l.MaxDeadlineMs, 1)), 1, 3_600_000)
+	if l.DefaultDeadlineMs > l.MaxDeadlineMs {
+		f.Add("limits.defaultDeadlineMs", l.DefaultDeadlineMs, "at most limits.maxDeadlineMs")
+	}
+	f.Range("limits.connections", &l.Connections, 4096, 1, 1_000_000)
+	f.Range("limits.peerConnections", &l.PeerConnections, 4096, 1, 1_000_000)
+	f.Range("limits.operatorConnections", &l.OperatorConnections, 256, 1, 1_000_000)
+}
