--- a/entry/broker/estimate.go
+++ b/entry/broker/estimate.go
@@ -8,9 +8,9 @@
 	outcomesToTrust = 20
 	// typicalRunMs stands for a run time that is neither declared nor learned:
 	// most tasks take 50 ms to a second.
-	typicalRunMs    = 500
-	meanWeight      = 0.05
-	highQuantile    = 0.95
+	typicalRunMs = 500
+	meanWeight   = 0.05
+	highQuantile = 0.95
 )
 
 // kind is what is known of one request type of a service: estimates of its run
