entry: count each refusal and each retry once

Cause: the broker and the owner of a job both counted its refusals and retries, twice within one process where the entry is its own broker. A task that waits again after its grant had lapsed was not counted as a retry by its owner. Change: the entry that has the job counts; of the broker's counts only those of targets are passed on. A lapsed grant of a waiting task counts the retry "unused". Test: tables over all kinds and retry reasons: exactly one counter rises, once. Before the change noTarget, deadlineExceeded, allowanceSpent, deadlineUnmeetable, overQuota and the retries unreachable, busy and leaving rose by 2, a lapsed grant by 0. internal is tested in the listener, badId and other refusals of the listener over real sockets.

--- a/entry/dispatcher/serve.go
+++ b/entry/dispatcher/serve.go
@@ -37,7 +37,11 @@
 			s.emit(Count{Group: "wasted", Reason: "probe"})
 			s.emit(Probe{Target: cmd.Target})
 		case broker.Count:
-			s.emit(Count{Group: cmd.Group, Reason: cmd.Reason})
+			// Refusals and retries are counted by the entry that has the job,
+			// which this one may be.
+			if cmd.Group == "target" {
+				s.emit(Count{Group: cmd.Group, Reason: cmd.Reason})
+			}
 		}
 	}
 }
--- a/entry/dispatcher/task.go
+++ b/entry/dispatcher/task.go
@@ -47,6 +47,9 @@
 			reason = "lapsedGrant"
 		}
 		s.emit(Count{Group: "wasted", Reason: reason})
+		if wanted {
+			s.emit(Count{Group: "retry", Reason: string(messenger.GrantUnused)})
+		}
 		s.release(messenger.Release{Grant: g, Outcome: messenger.GrantUnused, Requeue: wanted})
 		return
 	}
