--- a/proof/conductor/command.go
+++ b/proof/conductor/command.go
@@ -445,6 +445,9 @@
 	if err := d.waitAgreed(); err != nil {
 		return err
 	}
+	if err := d.checkLogs(); err != nil {
+		return err
+	}
 	list, records, err := d.Check(time.Duration(leaving) * time.Millisecond)
 	if err != nil {
 		return err
--- a/proof/conductor/condition.go
+++ b/proof/conductor/condition.go
@@ -1,8 +1,11 @@
 package conductor
 
 import (
+	"bytes"
 	"context"
 	"net/http"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -259,3 +262,24 @@
 	}
 	return checker.Check(h, checker.Options{LeavingBound: leaving}), records, nil
 }
+
+// checkLogs finds reports of the race detector and crashes in the logs of the
+// programs.
+func (d *Deployment) checkLogs() error {
+	paths, err := filepath.Glob(filepath.Join(d.folder, "*.log"))
+	if err != nil {
+		return err
+	}
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return errors.Wrap(err, "reading a log")
+		}
+		for _, mark := range []string{"WARNING: DATA RACE", "panic: ", "fatal error: "} {
+			if bytes.Contains(data, []byte(mark)) {
+				return errors.Newf("%s has %q", path, mark)
+			}
+		}
+	}
+	return nil
+}
