Repeat a request for a registration until it comes

Cause: a lost request for a registration was never repeated, and a peer out of reach would have caused a loop of failing requests. Bulk work could also fill the whole queue, so that urgent jobs were refused as overloaded.

Change: the broker asks a member again after 500 ms and not more often when messages are undelivered. Bulk work leaves the urgent reserve of MaxWaitingTasks free.

Test: TestUndelivered is new; go test -race ./broker passes.

--- a/entry/broker/admission.go
+++ b/entry/broker/admission.go
@@ -127,7 +127,7 @@
 	if e := s.admitSize(svc, r, run); e != nil {
 		return e
 	}
-	if svc.waiting[urgent]+svc.waiting[bulk]+n > s.Settings.MaxWaitingTasks {
+	if svc.waiting[urgent]+svc.waiting[bulk]+n > s.queueLimit(c) {
 		return messenger.NewError(messenger.Overloaded, "").After(s.spread(svc.backlogMs(c, s)))
 	}
 	if !svc.affordable(int64(n) * run) {
@@ -136,6 +136,15 @@
 	return s.admitTime(svc, c, s.team(r.Team), r, int64(n)*run)
 }
 
+// queueLimit is the number of waiting tasks up to which work of the class is
+// taken. Bulk work leaves room for urgent work here as well.
+func (s *State) queueLimit(c class) int {
+	if c == bulk {
+		return s.Settings.MaxWaitingTasks * (100 - max(0, s.Settings.UrgentReservePercent)) / 100
+	}
+	return s.Settings.MaxWaitingTasks
+}
+
 // admitSize refuses what no target can ever run, or none can run now.
 func (s *State) admitSize(svc *service, r *messenger.SlotRequest, run int64) *messenger.Error {
 	if svc.usable == 0 || svc.capacity() == 0 {
--- a/entry/broker/bench_test.go
+++ b/entry/broker/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
+	"github.com/godwitrelay/godwitrelay/core/planner"
 )
 
 // BenchmarkGrantRelease measures one release that leads to one grant, while
@@ -14,24 +15,23 @@
 //
 //	go test -run '^$' -bench GrantRelease -benchmem ./broker
 func BenchmarkGrantRelease(b *testing.B) {
-	for _, size := range []struct{ targets, jobs, batch int }{
-		{100, 300, 1}, {100, 300, 16}, {500, 3000, 1}, {500, 3000, 16}, {500, 30, 16},
+	for _, size := range []struct{ targets, jobs, batch, teams int }{
+		{100, 300, 1, 1}, {100, 300, 16, 1}, {500, 30, 16, 1}, {500, 3000, 1, 1}, {500, 3000, 16, 1}, {500, 3000, 16, 84},
 	} {
-		b.Run(fmt.Sprintf("targets=%d/jobs=%d/batch=%d", size.targets, size.jobs, size.batch), func(b *testing.B) {
-			benchGrants(b, size.targets, size.jobs, size.batch)
+		b.Run(fmt.Sprintf("targets=%d/jobs=%d/batch=%d/teams=%d", size.targets, size.jobs, size.batch, size.teams), func(b *testing.B) {
+			benchGrants(b, size.targets, size.jobs, size.batch, size.teams)
 		})
 	}
 }
 
-func benchGrants(b *testing.B, targets, jobs, batch int) {
+func benchGrants(b *testing.B, targets, jobs, batch, teams int) {
 	const tasks = 16
 	c := testConfiguration()
 	service := c.Services["orders"]
 	service.Slots = targets * 8
 	c.Services["orders"] = service
-	for name, t := range c.Teams {
-		t.Slots = targets * 8
-		c.Teams[name] = t
+	for i := range teams {
+		c.Teams[fmt.Sprint("team", i)] = planner.Team{Slots: targets * 8}
 	}
 	s := newBench(c, Settings{}, targets, 8)
 	ids := make([]string, 1<<16)
@@ -41,7 +41,7 @@
 	next := 0
 	request := func() messenger.SlotRequest {
 		r := testRequest(ids[next%len(ids)], "check", tasks)
-		r.DeadlineInMs = 1 << 40
+		r.DeadlineInMs, r.Team = 1<<40, fmt.Sprint("team", next%teams)
 		next++
 		return r
 	}
--- a/entry/broker/grant.go
+++ b/entry/broker/grant.go
@@ -183,6 +183,7 @@
 // with the grant, or its release, was lost.
 func (s *State) sweepGrants() {
 	for _, p := range s.sortedPeers() {
+		s.askAgain(p)
 		if !s.members[p.member] {
 			for _, g := range slices.Clone(p.grants) {
 				if s.now >= g.ends {
--- a/entry/broker/registration.go
+++ b/entry/broker/registration.go
@@ -19,6 +19,10 @@
 	jobs        []*job
 	grants      []*grant
 	nextCheck   int64
+	// owes is set while a registration is to come, asked is when it was asked
+	// for last.
+	owes  bool
+	asked int64
 
 	touched      bool
 	needFull     bool
@@ -50,8 +54,11 @@
 	return list
 }
 
+// askAgainMs is well above the time of a message and its answer.
+const askAgainMs = 500
+
 func (s *State) needFull(p *peer) {
-	p.needFull = true
+	p.needFull, p.owes, p.asked = true, true, s.now
 	s.touch(p)
 }
 
@@ -93,7 +100,7 @@
 // register replaces all that is known of the sender by what it holds.
 func (s *State) register(p *peer, r *messenger.SlotsRequest) {
 	s.dropPeer(p)
-	p.registered, p.misdirected = true, false
+	p.registered, p.misdirected, p.owes = true, false, false
 	for i := range r.Held {
 		s.reoccupy(p, &r.Held[i])
 	}
@@ -167,8 +174,18 @@
 	}
 }
 
+// undelivered asks the peer for a registration, which tells what it received.
 func (s *State) undelivered(m Undelivered) {
-	if p := s.peers[m.To]; p != nil && s.members[m.To] {
+	if p := s.peers[m.To]; p != nil {
+		p.owes = true
+		s.askAgain(p)
+	}
+}
+
+// askAgain asks a member for a registration that has not come. Without the
+// pause, a peer that can't be reached would cause a loop of failing messages.
+func (s *State) askAgain(p *peer) {
+	if p.owes && s.now >= p.asked+askAgainMs*ms && s.members[p.member] {
 		s.needFull(p)
 	}
 }
--- a/entry/broker/rule_test.go
+++ b/entry/broker/rule_test.go
@@ -344,3 +344,18 @@
 		wantEqual(t, "order", m, members[i+1])
 	}
 }
+
+// TestUndelivered guards against a lost request for a registration that is
+// never repeated, and against a loop of messages to a peer out of reach.
+func TestUndelivered(t *testing.T) {
+	b := newBench(testConfiguration(), Settings{}, 1, 1)
+	asked := func(cmds []Cmd) int {
+		_, _, needFull := sent(cmds)
+		return len(needFull)
+	}
+	wantEqual(t, "at once", asked(b.do(Undelivered{To: other})), 1)
+	wantEqual(t, "again", asked(b.do(Undelivered{To: other})), 0)
+	wantEqual(t, "in 1.1 s", asked(b.wait(1100*time.Millisecond)), 2)
+	b.from(other, messenger.SlotsRequest{Full: true})
+	wantEqual(t, "after the registration", asked(b.wait(1100*time.Millisecond)), 0)
+}
