Find the next job without a look at every team

Change: the lanes of a class and memory group are in heaps by their first jobs. A lane leaves them while its team is at its share.

--- a/entry/broker/grant.go
+++ b/entry/broker/grant.go
@@ -50,7 +50,7 @@
 	g.ownerPlace = len(p.grants)
 	j.granted++
 	t.inUse++
-	j.team.inUse++
+	j.team.take(1)
 	j.service.inUse[j.class]++
 	j.service.refresh(t)
 }
@@ -66,15 +66,14 @@
 	list[last] = nil
 	j.owner.grants = list[:last]
 	j.granted--
+	// Before the team's lanes move, its jobs must be in order.
+	j.reorder()
 	t.inUse--
-	j.team.inUse--
+	j.team.take(-1)
 	j.service.inUse[j.class]--
 	j.service.reservedMs -= j.reservedMs
 	j.service.refresh(t)
 	j.service.dirty = true
-	if j.lane != nil {
-		j.lane.order.fix(j)
-	}
 	*g = grant{}
 	s.spare = append(s.spare, g)
 	s.forgetIfDone(j)
@@ -171,7 +170,7 @@
 	svc.waiting[j.class]++
 	j.kind.add(j, 1)
 	j.team.waitingMs[j.class] += j.taskMs
-	j.lane.order.fix(j)
+	j.reorder()
 }
 
 func startedOutcome(o messenger.GrantOutcome) bool {
--- a/entry/broker/service.go
+++ b/entry/broker/service.go
@@ -29,7 +29,7 @@
 
 	order     func(a, b *job) bool
 	lanes     map[laneKey]*lane
-	active    [classes][]*lane
+	ready     [classes][]*laneSet
 	deadlines heap[*job]
 	waiting   [classes]int
 	inUse     [classes]int
@@ -50,12 +50,14 @@
 }
 
 func newService(name string, settings Settings) *service {
-	return &service{
+	svc := &service{
 		name: name, registered: map[messenger.Member]bool{}, targets: map[string]*target{},
 		order: jobOrder(settings.Order), lanes: map[laneKey]*lane{},
 		deadlines: heap[*job]{less: deadlineFirst, place: func(j *job) *int { return &j.deadlinePlace }},
 		kinds:     map[string]*kind{}, budgets: map[*team]*budget{},
 	}
+	svc.relane()
+	return svc
 }
 
 func (svc *service) used() int { return svc.inUse[urgent] + svc.inUse[bulk] }
@@ -153,5 +155,6 @@
 			}
 		}
 	}
+	svc.dropLanes()
 	delete(s.services, svc.name)
 }
--- a/entry/broker/share.go
+++ b/entry/broker/share.go
@@ -7,11 +7,29 @@
 	inUse int
 	// waitingMs is the estimated run time of the waiting tasks.
 	waitingMs [classes]int64
+	lanes     []*lane
 }
 
 // room reports whether the team may take another slot.
 func (t *team) room() bool { return t.inUse < t.share }
 
+// take adds n to the slots in use, and blocks or frees the team's lanes when
+// it reaches or leaves its share.
+func (t *team) take(n int) {
+	before := t.room()
+	t.inUse += n
+	if t.room() != before {
+		t.updateLanes()
+	}
+}
+
+func (t *team) updateLanes() {
+	for _, l := range t.lanes {
+		l.update()
+		l.service.dirty = true
+	}
+}
+
 func (s *State) team(name string) *team {
 	t := s.teams[name]
 	if t == nil {
@@ -34,6 +52,7 @@
 
 func (s *State) configureTeam(t *team) {
 	t.share = s.configuration.Share(s.configuration.Teams[t.name].Slots, s.domain)
+	t.updateLanes()
 }
 
 func (s *State) configureService(svc *service) {
