Test the order of jobs

Cause: with an order that was not corrected after a release, without the deadline rule, or with a repeated index in a task list, no test failed.

Change: TestJobOrder covers these.

--- a/entry/broker/rule_test.go
+++ b/entry/broker/rule_test.go
@@ -359,3 +359,34 @@
 	b.from(other, messenger.SlotsRequest{Full: true})
 	wantEqual(t, "after the registration", asked(b.wait(1100*time.Millisecond)), 0)
 }
+
+// TestJobOrder guards against a wrong order of jobs of one class, and a stale
+// one after the number of tasks left has changed.
+func TestJobOrder(t *testing.T) {
+	cases := []struct {
+		order        string
+		small        int
+		largeInMs    int64
+		first, after string
+	}{
+		{"fewestLeft", 2, 10_000, "small", "large"},
+		{"fewestLeft", 3, 10_000, "large", "large"},
+		{"fifo", 2, 10_000, "large", "large"},
+		{"fewestLeft", 2, 300, "large", "large"},
+	}
+	for i, c := range cases {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			b := newBench(testConfiguration(), Settings{Order: c.order}, 1, 2)
+			large := testRequest("large", "check", 4)
+			large.Tasks, large.Admitted, large.DeadlineInMs = append(large.Tasks, 3, 0), true, c.largeInMs
+			live, _ := b.ask(large)
+			b.ask(testRequest("small", "check", c.small))
+			for _, want := range []string{c.first, c.after} {
+				grants, _, _ := sent(b.end(live[0], messenger.GrantDone, false))
+				wantEqual(t, "next", grants[0].JobID, want)
+				live = live[1:]
+			}
+			wantEqual(t, "tasks waiting", b.Services()[0].Waiting, c.small+4-4)
+		})
+	}
+}
