Shorten the broker's tests

Cause: set-up code was repeated in the tests and benchmarks.

Change: testConfiguration takes the number of slots, and BenchmarkPolicy makes its cases in loops. TestGrantAndRelease is gone: TestInvariants checks at the end of each list that every task was granted as slots were released.

--- a/entry/broker/bench_test.go
+++ b/entry/broker/bench_test.go
@@ -26,10 +26,7 @@
 
 func benchGrants(b *testing.B, targets, jobs, batch, teams int) {
 	const tasks = 16
-	c := testConfiguration()
-	service := c.Services["orders"]
-	service.Slots = targets * 8
-	c.Services["orders"] = service
+	c := testConfiguration(targets * 8)
 	for i := range teams {
 		c.Teams[fmt.Sprint("team", i)] = planner.Team{Slots: targets * 8}
 	}
--- a/entry/broker/broker_test.go
+++ b/entry/broker/broker_test.go
@@ -15,15 +15,16 @@
 	epoch = time.Unix(1_000_000, 0)
 )
 
-func testConfiguration() planner.Configuration {
+// testConfiguration has one service, whose slots its teams may use in full.
+func testConfiguration(slots int) planner.Configuration {
 	return planner.Configuration{
-		BudgetSlots:    100,
+		BudgetSlots:    slots,
 		FailureDomains: []string{"a"},
-		Services: map[string]planner.Service{"orders": {Slots: 100, RequestTypes: map[string]planner.RequestType{
+		Services: map[string]planner.Service{"orders": {Slots: slots, RequestTypes: map[string]planner.RequestType{
 			"check": {Priority: messenger.Urgent, MaxRunMs: 1000},
 			"batch": {Priority: messenger.Bulk, MaxRunMs: 1000},
 		}}},
-		Teams: map[string]planner.Team{"red": {Slots: 100}, "blue": {Slots: 100}},
+		Teams: map[string]planner.Team{"red": {Slots: slots}, "blue": {Slots: slots}},
 	}
 }
 
@@ -81,24 +82,10 @@
 	return grants, refusals, needFull
 }
 
-// TestGrantAndRelease guards against a queue that stands still after a slot was
-// released.
-func TestGrantAndRelease(t *testing.T) {
-	b := newBench(testConfiguration(), Settings{}, 1, 2)
-	grants, refusals, _ := sent(b.from(self, messenger.SlotsRequest{Requests: []messenger.SlotRequest{testRequest("j", "check", 3)}}))
-	if len(grants) != 2 || len(refusals) != 0 {
-		t.Fatalf("got %v, %v, want two grants", grants, refusals)
-	}
-	grants, _, _ = sent(b.from(self, messenger.SlotsRequest{Releases: []messenger.Release{{Grant: grants[0], Outcome: messenger.GrantDone, RunMs: 100}}}))
-	if len(grants) != 1 {
-		t.Fatalf("got %v after a release, want one grant", grants)
-	}
-}
-
 // TestNeedFull guards against messages that count twice or come from a sender
 // whose state is unknown.
 func TestNeedFull(t *testing.T) {
-	b := newBench(testConfiguration(), Settings{}, 1, 2)
+	b := newBench(testConfiguration(100), Settings{}, 1, 2)
 	request := []messenger.SlotRequest{testRequest("j", "check", 1)}
 	stranger := messenger.Member{Address: "127.0.0.1:3", Incarnation: 33}
 	cases := map[string]messenger.SlotsRequest{
--- a/entry/broker/model_test.go
+++ b/entry/broker/model_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
+	"github.com/godwitrelay/godwitrelay/core/planner"
 )
 
 // task names one task of a job.
@@ -84,13 +85,8 @@
 
 func newWorld(settings Settings) *world {
 	w := &world{broker: New(self, settings), at: epoch, down: map[string]bool{}, live: map[task]liveGrant{}, ended: map[string]time.Time{}}
-	c := testConfiguration()
-	service := c.Services["orders"]
-	service.Slots = 9
-	c.Services["orders"] = service
-	blue := c.Teams["blue"]
-	blue.Slots = 4
-	c.Teams["blue"] = blue
+	c := testConfiguration(9)
+	c.Teams["blue"] = planner.Team{Slots: 4}
 	for i := range 3 {
 		m := messenger.Member{Address: fmt.Sprintf("127.0.0.1:%d", i+1), Incarnation: uint64(11 * (i + 1))}
 		w.entries = append(w.entries, &entry{member: m, alive: true})
--- a/entry/broker/rule_test.go
+++ b/entry/broker/rule_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
+	"github.com/godwitrelay/godwitrelay/core/planner"
 )
 
 // ask requests one job and returns what the broker sent.
@@ -66,11 +67,8 @@
 	}
 	for i, c := range cases {
 		t.Run(fmt.Sprint(i, c.kind), func(t *testing.T) {
-			config := testConfiguration()
-			config.Teams["small"] = config.Teams["none"]
-			small := config.Teams["small"]
-			small.Slots = 1
-			config.Teams["small"] = small
+			config := testConfiguration(100)
+			config.Teams["small"] = planner.Team{Slots: 1}
 			b := newBench(config, Settings{MaxWaitingTasks: 100}, 2, 4)
 			if c.setup != nil {
 				c.setup(b)
@@ -105,7 +103,7 @@
 // TestBulkProgress guards against bulk work that starves under urgent work,
 // and against bulk work that takes more than its part.
 func TestBulkProgress(t *testing.T) {
-	b := newBench(testConfiguration(), Settings{BulkAgeMs: 500, BulkShare: 5}, 1, 4)
+	b := newBench(testConfiguration(100), Settings{BulkAgeMs: 500, BulkShare: 5}, 1, 4)
 	bulkJob := testRequest("bulk", "batch", 1000)
 	bulkJob.DeadlineInMs, bulkJob.DeclaredRunMs = 1<<40, 1
 	live, _ := b.ask(testRequest("first", "check", 4))
@@ -131,7 +129,7 @@
 // TestEjection guards against a target that fails everything and stays in use,
 // or that gets its full load at once after its backoff.
 func TestEjection(t *testing.T) {
-	b := newBench(testConfiguration(), Settings{}, 3, 8)
+	b := newBench(testConfiguration(100), Settings{}, 3, 8)
 	bad := "10.0.0.1:80"
 	id := 0
 	round := func(fails bool) int {
@@ -167,7 +165,7 @@
 // TestPoison guards against a request type that fails everywhere and takes
 // targets out of use.
 func TestPoison(t *testing.T) {
-	b := newBench(testConfiguration(), Settings{}, 10, 2)
+	b := newBench(testConfiguration(100), Settings{}, 10, 2)
 	most := 0
 	for i := range 50 {
 		grants, _ := b.ask(testRequest(fmt.Sprint(i), "check", 20))
@@ -187,7 +185,7 @@
 
 // TestRetryBudget guards against retries without bound.
 func TestRetryBudget(t *testing.T) {
-	b := newBench(testConfiguration(), Settings{}, 2, 1)
+	b := newBench(testConfiguration(100), Settings{}, 2, 1)
 	grants, _ := b.ask(testRequest("j", "check", 1))
 	for i := range firstTokens {
 		var refusals []messenger.SlotRefusal
@@ -207,7 +205,7 @@
 // TestAllowance guards against an allowance that is overdrawn by admitted work
 // or by work that the platform has not reported yet.
 func TestAllowance(t *testing.T) {
-	b := newBench(testConfiguration(), Settings{}, 1, 10)
+	b := newBench(testConfiguration(100), Settings{}, 1, 10)
 	svc := b.services["orders"]
 	svc.allowance = 2000
 	grants, _ := b.ask(testRequest("a", "check", 10))
@@ -228,7 +226,7 @@
 // TestRequeueEdges guards against a cancelled job that is queued again, and a
 // task that nobody queues because its grant was replaced.
 func TestRequeueEdges(t *testing.T) {
-	b := newBench(testConfiguration(), Settings{}, 2, 1)
+	b := newBench(testConfiguration(100), Settings{}, 2, 1)
 	grants, _ := b.ask(testRequest("j", "check", 1))
 	b.from(self, messenger.SlotsRequest{Cancels: []string{"j"}})
 	again, _, needFull := sent(b.end(grants[0], messenger.GrantBusy, true))
@@ -240,7 +238,7 @@
 // TestMemoryDoesNotBlock guards against a large job that waits for a large
 // target and keeps small jobs from the others.
 func TestMemoryDoesNotBlock(t *testing.T) {
-	b := newBench(testConfiguration(), Settings{Order: "fifo"}, 2, 1)
+	b := newBench(testConfiguration(100), Settings{Order: "fifo"}, 2, 1)
 	vms := testTargets(2, 1)
 	vms[1].MemoryMB = 4000
 	b.do(Targets{VMs: vms})
@@ -256,7 +254,7 @@
 // the members hold, and one that waits for a silent member for ever.
 func TestTakeover(t *testing.T) {
 	for _, silent := range []bool{true, false} {
-		b := newBench(testConfiguration(), Settings{}, 1, 1)
+		b := newBench(testConfiguration(100), Settings{}, 1, 1)
 		b.do(Assign{Members: []messenger.Member{self, other}})
 		b.do(Assign{Services: []string{"orders"}, Members: []messenger.Member{self, other}})
 		grants, _, _ := sent(b.from(self, messenger.SlotsRequest{Full: true, Requests: []messenger.SlotRequest{testRequest("j", "check", 1)}}))
@@ -274,7 +272,7 @@
 
 // TestProbes guards against probes of targets that answer tasks.
 func TestProbes(t *testing.T) {
-	b := newBench(testConfiguration(), Settings{}, 2, 1)
+	b := newBench(testConfiguration(100), Settings{}, 2, 1)
 	probes := map[string]int{}
 	for i := range 100 {
 		grants, _ := b.ask(testRequest(fmt.Sprint(i), "check", 1))
@@ -292,7 +290,7 @@
 
 // TestSlowTargetLast guards against a slow target that is used like the others.
 func TestSlowTargetLast(t *testing.T) {
-	b := newBench(testConfiguration(), Settings{}, 4, 2)
+	b := newBench(testConfiguration(100), Settings{}, 4, 2)
 	for i := range 20 {
 		grants, _ := b.ask(testRequest(fmt.Sprint(i), "check", 8))
 		for _, g := range grants {
@@ -315,7 +313,7 @@
 // again, and against slots that stay lost when the foreign work has gone.
 func TestBusy(t *testing.T) {
 	for _, status := range []*messenger.TargetStatus{nil, {Slots: 4, InFlight: 4}} {
-		b := newBench(testConfiguration(), Settings{}, 1, 4)
+		b := newBench(testConfiguration(100), Settings{}, 1, 4)
 		grants, _ := b.ask(testRequest("j", "check", 1))
 		more, _, _ := sent(b.from(self, messenger.SlotsRequest{Releases: []messenger.Release{{Grant: grants[0], Outcome: messenger.GrantBusy, Requeue: true, Status: status}}}))
 		wantEqual(t, "grants after busy", len(more), 0)
@@ -329,7 +327,7 @@
 // TestOrderOfPeers guards against commands in the order of a map, which would
 // make a recorded run differ when it is replayed.
 func TestOrderOfPeers(t *testing.T) {
-	b := newBench(testConfiguration(), Settings{}, 1, 1)
+	b := newBench(testConfiguration(100), Settings{}, 1, 1)
 	members := []messenger.Member{self}
 	for i := range 20 {
 		members = append(members, messenger.Member{Address: fmt.Sprintf("127.0.1.%02d:1", i), Incarnation: 5})
@@ -348,7 +346,7 @@
 // TestUndelivered guards against a lost request for a registration that is
 // never repeated, and against a loop of messages to a peer out of reach.
 func TestUndelivered(t *testing.T) {
-	b := newBench(testConfiguration(), Settings{}, 1, 1)
+	b := newBench(testConfiguration(100), Settings{}, 1, 1)
 	asked := func(cmds []Cmd) int {
 		_, _, needFull := sent(cmds)
 		return len(needFull)
@@ -376,7 +374,7 @@
 	}
 	for i, c := range cases {
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
-			b := newBench(testConfiguration(), Settings{Order: c.order}, 1, 2)
+			b := newBench(testConfiguration(100), Settings{Order: c.order}, 1, 2)
 			large := testRequest("large", "check", 4)
 			large.Tasks, large.Admitted, large.DeadlineInMs = append(large.Tasks, 3, 0), true, c.largeInMs
 			live, _ := b.ask(large)
--- a/entry/broker/simulation_test.go
+++ b/entry/broker/simulation_test.go
@@ -53,14 +53,7 @@
 }
 
 func simulate(settings Settings, load, urgentPart float64, broken bool) *simulation {
-	c := testConfiguration()
-	service := c.Services["orders"]
-	service.Slots = simTargets * simSlots
-	c.Services["orders"] = service
-	red := c.Teams["red"]
-	red.Slots = simTargets * simSlots
-	c.Teams["red"] = red
-	s := &simulation{bench: newBench(c, settings, simTargets, simSlots), random: rand.New(rand.NewPCG(1, 2)), jobs: map[string]*simJob{}, running: map[string]int{}}
+	s := &simulation{bench: newBench(testConfiguration(simTargets*simSlots), settings, simTargets, simSlots), random: rand.New(rand.NewPCG(1, 2)), jobs: map[string]*simJob{}, running: map[string]int{}}
 	s.events = heap[*simEvent]{place: func(e *simEvent) *int { return &e.place }, less: func(a, b *simEvent) bool {
 		return a.at.Before(b.at) || a.at.Equal(b.at) && a.sequence < b.sequence
 	}}
@@ -243,30 +236,21 @@
 //
 //	go test -run '^$' -bench Policy -benchtime 1x ./broker
 func BenchmarkPolicy(b *testing.B) {
-	for _, v := range []struct {
-		name       string
-		settings   Settings
-		load       float64
-		urgentPart float64
-		broken     bool
-	}{
-		{"fewestLeft/load=80", Settings{}, 0.8, 0.5, false},
-		{"fifo/load=80", Settings{Order: "fifo"}, 0.8, 0.5, false},
-		{"fewestLeft/load=95", Settings{}, 0.95, 0.5, false},
-		{"fifo/load=95", Settings{Order: "fifo"}, 0.95, 0.5, false},
-		{"fewestLeft/load=120", Settings{}, 1.2, 0.5, false},
-		{"fifo/load=120", Settings{Order: "fifo"}, 1.2, 0.5, false},
-		{"reserve=0/load=120", Settings{UrgentReservePercent: -1}, 1.2, 0.1, false},
-		{"reserve=5/load=120", Settings{UrgentReservePercent: 5}, 1.2, 0.1, false},
-		{"reserve=10/load=120", Settings{UrgentReservePercent: 10}, 1.2, 0.1, false},
-		{"reserve=20/load=120", Settings{UrgentReservePercent: 20}, 1.2, 0.1, false},
-		{"brokenTarget/load=50", Settings{}, 0.5, 0.5, true},
-		{"brokenTarget/load=80", Settings{}, 0.8, 0.5, true},
-	} {
-		b.Run(v.name, func(b *testing.B) {
+	run := func(name string, settings Settings, load, urgentPart float64, broken bool) {
+		b.Run(fmt.Sprintf("%s/load=%.0f", name, 100*load), func(b *testing.B) {
 			for b.Loop() {
-				simulate(v.settings, v.load, v.urgentPart, v.broken).report(b)
+				simulate(settings, load, urgentPart, broken).report(b)
 			}
 		})
 	}
+	for _, load := range []float64{0.8, 0.95, 1.2} {
+		run("fewestLeft", Settings{}, load, 0.5, false)
+		run("fifo", Settings{Order: "fifo"}, load, 0.5, false)
+	}
+	for _, percent := range []int{-1, 5, 10, 20} {
+		run(fmt.Sprint("reserve=", max(0, percent)), Settings{UrgentReservePercent: percent}, 1.2, 0.1, false)
+	}
+	for _, load := range []float64{0.5, 0.8} {
+		run("brokenTarget", Settings{}, load, 0.5, true)
+	}
 }
