--- a/entry/broker/rule_test.go
+++ b/entry/broker/rule_test.go
@@ -103,7 +103,7 @@
 		t.Run(fmt.Sprint(declared), func(t *testing.T) {
 			r := testRequest("j", "check", 1)
 			r.DeclaredRunMs, r.DeadlineInMs = declared, 100
-			grants, refusals := newBench(testConfiguration(), Settings{}, 2, 4).ask(r)
+			grants, refusals := newBench(testConfiguration(100), Settings{}, 2, 4).ask(r)
 			if len(grants) != 1 || len(refusals) != 0 {
 				t.Fatalf("got %v, %v, want one grant", grants, refusals)
 			}
--- a/entry/check.go
+++ b/entry/check.go
@@ -89,6 +89,7 @@
 	within(f, "gossiper.suspectMs", g.SuspectMs, 20, 60_000)
 	within(f, "gossiper.forgetMs", g.ForgetMs, 20, 600_000)
 	within(f, "gossiper.fanOut", int64(g.FanOut), 1, 64)
+	within(f, "gossiper.maxRows", int64(g.MaxRows), 1, 64)
 	if g.HeartbeatMs > 0 && g.SuspectMs > 0 && g.SuspectMs < g.HeartbeatMs {
 		f.Add("gossiper.suspectMs", g.SuspectMs, "at least gossiper.heartbeatMs")
 	}
--- a/entry/dispatcher/counter_test.go
+++ b/entry/dispatcher/counter_test.go
@@ -98,11 +98,11 @@
 		return e.do(Forwarded{Waiter: e.waiter, JobID: only[Forward](cmds)[0].JobID, Err: &Failure{}})
 	},
 	messenger.NeverRunnable: func(e *entryUnderTest) []Cmd {
-		return e.submitChanged(func(s *messenger.Submission) { s.DeclaredRunMs, s.DeadlineMs = 900, 500 })
+		return e.submitChanged(func(s *messenger.Submission) { s.DeclaredRunMs, s.DeadlineMs = 9000, 500 })
 	},
 	messenger.DeadlineUnmeetable: func(e *entryUnderTest) []Cmd {
 		e.fill()
-		return e.submitChanged(func(s *messenger.Submission) { s.DeclaredRunMs, s.DeadlineMs = 900, 1000 })
+		return e.submitChanged(func(s *messenger.Submission) { s.DeclaredRunMs, s.DeadlineMs = 900, 300 })
 	},
 	messenger.OverQuota: func(e *entryUnderTest) []Cmd {
 		e.reconfigure(func(c *planner.Configuration) { c.Teams["restaurants"] = planner.Team{} })
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -46,6 +46,7 @@
 	{"gossiper.suspectMs", "1", "20 to 60000"},
 	{"gossiper.forgetMs", "-1", "20 to 600000"},
 	{"gossiper.fanOut", "65", "1 to 64"},
+	{"gossiper.maxRows", "65", "1 to 64"},
 	{"limits.bodyBytes", "1", "1024 to 67108864"},
 	{"limits.headerBytes", "-1", "1024 to 1048576"},
 	{"limits.headerReadMs", "60001", "10 to 60000"},
