entry/dispatcher: measure memory per waiting task and per kept answer

Cause: no figure says what a waiting task or a kept answer takes. Change: BenchmarkWaitingMemory and BenchmarkAnswerMemory report the live heap as a slope over three sizes. The counter tests and the live entry of the tests no longer depend on how the broker estimates run times or on an entry being ready without a list of VMs. Measurement: go test -run xxx -bench Memory -benchtime 3x ./dispatcher, payloads and results of 11 bytes, jobs of 1, 10 and 100 tasks: 1105, 285 and 197 bytes a waiting task; 782, 1170 and 5068 bytes a kept answer, of which 611, 710 and 1700 are counted.

--- a/entry/dispatcher/counter_test.go
+++ b/entry/dispatcher/counter_test.go
@@ -98,10 +98,16 @@
 		return e.do(Forwarded{Waiter: e.waiter, JobID: only[Forward](cmds)[0].JobID, Err: &Failure{}})
 	},
 	messenger.NeverRunnable: func(e *entryUnderTest) []Cmd {
-		return e.submitChanged(func(s *messenger.Submission) { s.DeclaredRunMs, s.DeadlineMs = 900, 500 })
+		return e.submitChanged(func(s *messenger.Submission) { s.DeclaredRunMs, s.DeadlineMs = 4900, 100 })
 	},
 	messenger.DeadlineUnmeetable: func(e *entryUnderTest) []Cmd {
 		e.fill()
+		e.submitChanged(func(s *messenger.Submission) {
+			s.DeadlineMs = 60_000
+			for range 50 {
+				s.Tasks = append(s.Tasks, s.Tasks[0])
+			}
+		})
 		return e.submitChanged(func(s *messenger.Submission) { s.DeclaredRunMs, s.DeadlineMs = 900, 1000 })
 	},
 	messenger.OverQuota: func(e *entryUnderTest) []Cmd {
--- /dev/null
+++ b/entry/dispatcher/memory_test.go
@@ -0,0 +1,117 @@
+package dispatcher
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/godwitrelay/godwitrelay/core/messenger"
+)
+
+// heapBytes is the live heap.
+func heapBytes() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// slope fits a line through (x, y) and returns its gradient.
+func slope(x, y []float64) float64 {
+	var sx, sy, sxx, sxy float64
+	for i := range x {
+		sx, sy, sxx, sxy = sx+x[i], sy+y[i], sxx+x[i]*x[i], sxy+x[i]*y[i]
+	}
+	n := float64(len(x))
+	return (n*sxy - sx*sy) / (n*sxx - sx*sx)
+}
+
+// memoryState is an entry whose limits and deadlines let any number wait.
+func memoryState(b *testing.B) *entryUnderTest {
+	e := &entryUnderTest{t: &testing.T{}, now: testStart}
+	cfg := testSettings()
+	cfg.MaxTasks, cfg.MaxHeldBytes, cfg.AnswerBytes = 1300, 1<<40, 1<<40
+	cfg.MaxDeadline, cfg.AnswerKeep, cfg.IDKeep = 100_000*time.Hour, time.Hour, time.Hour
+	cfg.Broker.MaxWaitingTasks = 10_000_000
+	e.s = New(testStart, cfg)
+	e.begin()
+	if e.t.Failed() {
+		b.Fatal("the entry is not ready")
+	}
+	return e
+}
+
+// decoded returns a submission whose parts do not share memory with another's,
+// as after decoding.
+func (e *entryUnderTest) decoded(tasks int) messenger.Submission {
+	sub := messenger.Submission{
+		ID: e.newID(), Team: strings.Clone("restaurants"), Service: strings.Clone("orders"), RequestType: strings.Clone("stock-check"),
+		DeclaredRunMs: 1, DeadlineMs: 300_000_000_000, Wait: true, Tasks: make([]json.RawMessage, tasks),
+	}
+	for i := range sub.Tasks {
+		sub.Tasks[i] = json.RawMessage(fmt.Sprintf(`{"runMs":%d}`, i%10))
+	}
+	return sub
+}
+
+// BenchmarkWaitingMemory reports the heap of the reducer, dispatcher and broker
+// together, per waiting task with a payload of 11 bytes, as the slope over
+// three sizes.
+func BenchmarkWaitingMemory(b *testing.B) {
+	for _, tasks := range []int{1, 10, 100} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			for b.Loop() {
+				e := memoryState(b)
+				var x, y []float64
+				for total := 0; total < 90_000; {
+					for range 30_000 / tasks {
+						e.submit(e.decoded(tasks))
+						total += tasks
+					}
+					x, y = append(x, float64(total)), append(y, heapBytes())
+				}
+				if n := e.s.status().Brokered[0].Waiting; n < 89_000 {
+					b.Fatalf("only %d tasks wait", n)
+				}
+				b.ReportMetric(slope(x, y), "B/waiting-task")
+				runtime.KeepAlive(e)
+			}
+		})
+	}
+}
+
+// BenchmarkAnswerMemory reports the heap per kept answer with results of 11
+// bytes, as the slope over three sizes.
+func BenchmarkAnswerMemory(b *testing.B) {
+	for _, tasks := range []int{1, 10, 100} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			for b.Loop() {
+				e := memoryState(b)
+				var x, y []float64
+				for total := 0; total < 30_000/tasks*3; {
+					for range 30_000 / tasks {
+						e.complete(tasks)
+						total++
+					}
+					x, y = append(x, float64(total)), append(y, heapBytes())
+				}
+				b.ReportMetric(slope(x, y), "B/answer")
+				b.ReportMetric(float64(e.s.jobs.Bytes)/x[len(x)-1], "counted-B/answer")
+				runtime.KeepAlive(e)
+			}
+		})
+	}
+}
+
+// complete submits a job and ends its tasks as they start.
+func (e *entryUnderTest) complete(tasks int) {
+	_, cmds := e.submit(e.decoded(tasks))
+	for starts := only[StartTask](cmds); len(starts) > 0; starts = starts[1:] {
+		reply := done(string(starts[0].Request.Payload))
+		starts = append(starts, only[StartTask](e.end(starts[0], reply, nil))...)
+	}
+}
--- a/entry/hostile_test.go
+++ b/entry/hostile_test.go
@@ -70,6 +70,7 @@
 		}}},
 		Teams: map[string]planner.Team{"restaurants": {Slots: 8}},
 	}}})
+	r.Post(dispatcher.VMsListed{})
 	for deadline := time.Now().Add(30 * time.Second); !r.Ready(); runtime.Gosched() {
 		if time.Now().After(deadline) {
 			t.Fatal("the entry does not become ready")
