--- a/entry/dispatcher/counter_test.go
+++ b/entry/dispatcher/counter_test.go
@@ -98,11 +98,17 @@
 		return e.do(Forwarded{Waiter: e.waiter, JobID: only[Forward](cmds)[0].JobID, Err: &Failure{}})
 	},
 	messenger.NeverRunnable: func(e *entryUnderTest) []Cmd {
-		return e.submitChanged(func(s *messenger.Submission) { s.DeclaredRunMs, s.DeadlineMs = 9000, 500 })
+		return e.submitChanged(func(s *messenger.Submission) { s.DeclaredRunMs, s.DeadlineMs = 4900, 100 })
 	},
 	messenger.DeadlineUnmeetable: func(e *entryUnderTest) []Cmd {
 		e.fill()
-		return e.submitChanged(func(s *messenger.Submission) { s.DeclaredRunMs, s.DeadlineMs = 900, 300 })
+		e.submitChanged(func(s *messenger.Submission) {
+			s.DeadlineMs = 60_000
+			for range 50 {
+				s.Tasks = append(s.Tasks, s.Tasks[0])
+			}
+		})
+		return e.submitChanged(func(s *messenger.Submission) { s.DeclaredRunMs, s.DeadlineMs = 900, 1000 })
 	},
 	messenger.OverQuota: func(e *entryUnderTest) []Cmd {
 		e.reconfigure(func(c *planner.Configuration) { c.Teams["restaurants"] = planner.Team{} })
