entry: hold less per waiting task and count all that is held

Cause: each task kept a grant and a time that only running tasks have and that the table of held grants keeps too; each job kept a whole submission for two numbers, and a slice of results before the first. heldBytes and answerBytes counted payloads and results only, so that many small tasks took many times what was counted. Change: a task is its state, hints are two numbers, results are made with the first one, an ended job drops its names. Bytes counts the measured overhead per job, task, answer and result. Test: the property test of the registrar counts the overheads exactly; go test -race ./... passes.

--- a/entry/dispatcher/memory_test.go
+++ b/entry/dispatcher/memory_test.go
@@ -78,6 +78,7 @@
 					b.Fatalf("only %d tasks wait", n)
 				}
 				b.ReportMetric(slope(x, y), "B/waiting-task")
+				b.ReportMetric(float64(e.s.jobs.Bytes)/x[len(x)-1], "counted-B/waiting-task")
 				runtime.KeepAlive(e)
 			}
 		})
--- a/entry/dispatcher/submit.go
+++ b/entry/dispatcher/submit.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
@@ -102,8 +101,7 @@
 		s.finish(now, j, messenger.Refusal(j.ID, e))
 		return
 	}
-	j.Hints = messenger.Submission{DeclaredRunMs: sub.DeclaredRunMs, DeclaredMemoryMB: sub.DeclaredMemoryMB}
-	j.Results = make([]json.RawMessage, len(sub.Tasks))
+	j.Hints = registrar.Hints{DeclaredRunMs: sub.DeclaredRunMs, DeclaredMemoryMB: sub.DeclaredMemoryMB}
 	if sub.Wait {
 		j.Waiters = append(j.Waiters, uint64(msg.Waiter))
 	} else if msg.Waiter != 0 {
--- a/entry/dispatcher/task.go
+++ b/entry/dispatcher/task.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"encoding/json"
 	"fmt"
 	"strconv"
 	"time"
@@ -58,7 +59,7 @@
 
 func (s *State) start(now time.Time, j *registrar.Job, g messenger.Grant) {
 	s.admitted(now, j)
-	j.Tasks[g.Task] = registrar.Task{State: registrar.Running, Grant: g, Since: now}
+	j.Tasks[g.Task] = registrar.Task{State: registrar.Running}
 	j.Started++
 	s.held[taskKey{g.JobID, g.Task}] = heldTask{
 		grant: g, team: j.Team, requestType: j.RequestType, priority: j.Priority, since: now,
@@ -137,6 +138,9 @@
 	}
 	t.State = registrar.Done
 	if v.kind == "" && !j.Finished() {
+		if j.Results == nil {
+			j.Results = make([]json.RawMessage, len(j.Tasks))
+		}
 		j.Results[msg.Task] = msg.Reply.Result
 		j.Left--
 	}
--- a/entry/registrar/job.go
+++ b/entry/registrar/job.go
@@ -18,16 +18,22 @@
 	Done
 )
 
-// Task is one task of a job. Grant and Since belong to a running task.
+// Task is one task of a job. It is kept for every waiting task, so that what
+// only running ones need has its place elsewhere.
 type Task struct {
 	State TaskState
-	Grant messenger.Grant
-	Since time.Time
+}
+
+// Hints are what a submission declares about each of its tasks.
+type Hints struct {
+	DeclaredRunMs    int64
+	DeclaredMemoryMB int64
 }
 
 // Job is one accepted submission and what became of it. Started counts the
 // tasks that may have reached a target. Asked is set once a broker was asked for
-// slots, Admitted once one has taken the job up.
+// slots, Admitted once one has taken the job up. Results is nil until the first
+// result.
 type Job struct {
 	ID          string
 	Digest      [32]byte
@@ -36,7 +42,7 @@
 	RequestType string
 	Priority    messenger.Priority
 	Idempotent  bool
-	Hints       messenger.Submission
+	Hints       Hints
 	Received    time.Time
 	Deadline    time.Time
 	MaxRun      time.Duration
--- a/entry/registrar/registrar.go
+++ b/entry/registrar/registrar.go
@@ -10,9 +10,17 @@
 	"github.com/godwitrelay/godwitrelay/core/messenger"
 )
 
-// answerOverhead is what a kept answer takes besides its results: the job's
-// record, its id and its place in the tables.
-const answerOverhead = 600
+// What is held besides the bytes of payloads and results, from the benchmarks
+// of memory in package dispatcher. An answer has the job's record, its id and
+// its place in the tables; a result the slice header and the rounding of its
+// allocation; a waiting job what an answer has and its places in the broker; a
+// waiting task the slice header of its payload and its place in the queue.
+const (
+	answerOverhead = 600
+	jobOverhead    = 780
+	resultOverhead = 32
+	taskOverhead   = 48
+)
 
 // Registrar is the set of jobs. Make one with [New].
 type Registrar struct {
@@ -52,8 +60,9 @@
 
 // Add takes up a job whose id was just marked as used.
 func (r *Registrar) Add(j *Job) {
+	j.Bytes = jobOverhead
 	for _, p := range j.Payloads {
-		j.Bytes += int64(len(p))
+		j.Bytes += int64(len(p)) + taskOverhead
 	}
 	r.Bytes += j.Bytes
 	r.running++
@@ -61,22 +70,24 @@
 	heap.Push(&r.deadlines, j)
 }
 
-// Finish sets the final answer of j and returns its waiters. Payloads and task
-// states are dropped; the answer is kept for repeats of the submission.
+// Finish sets the final answer of j and returns its waiters. The answer and the
+// digest are kept for repeats of the submission; payloads, task states and names
+// are dropped.
 func (r *Registrar) Finish(now time.Time, j *Job, answer messenger.Answer) []uint64 {
 	waiters := j.Waiters
 	r.running--
 	r.Bytes -= j.Bytes
 	j.Bytes = answerOverhead
 	for _, result := range answer.Results {
-		j.Bytes += int64(len(result))
+		j.Bytes += int64(len(result)) + resultOverhead
 	}
 	if answer.Error != nil {
 		j.Bytes += int64(len(answer.Error.Message))
 	}
 	r.Bytes += j.Bytes
 	j.Answer, j.Ended = &answer, now
-	j.Payloads, j.Results, j.Tasks, j.Waiters, j.Hints = nil, nil, nil, nil, messenger.Submission{}
+	j.Payloads, j.Results, j.Tasks, j.Waiters, j.Hints = nil, nil, nil, nil, Hints{}
+	j.Team, j.Service, j.RequestType = "", "", ""
 	heap.Remove(&r.deadlines, j.place)
 	r.ended = append(r.ended, j)
 	r.endedBytes += j.Bytes
--- a/entry/registrar/registrar_test.go
+++ b/entry/registrar/registrar_test.go
@@ -94,9 +94,9 @@
 func (r *jobsRun) check() {
 	total, kept := int64(0), int64(0)
 	for _, j := range r.all {
-		held := int64(0)
+		held := int64(jobOverhead)
 		for _, p := range j.Payloads {
-			held += int64(len(p))
+			held += int64(len(p)) + taskOverhead
 		}
 		if r.r.Find(j.ID) == nil {
 			if !j.Finished() {
@@ -105,9 +105,9 @@
 			continue
 		}
 		if j.Finished() {
-			held += answerOverhead
+			held = answerOverhead
 			for _, result := range j.Answer.Results {
-				held += int64(len(result))
+				held += int64(len(result)) + resultOverhead
 			}
 			if j.Answer.Error != nil {
 				held += int64(len(j.Answer.Error.Message))
