--- a/entry/check.go
+++ b/entry/check.go
@@ -77,6 +77,7 @@
 	f.OneOf("broker.order", &b.Order, "fewestLeft", "fifo")
 	// -1 means no reserve. Bulk work would never run at 100.
 	within(f, "broker.urgentReservePercent", int64(b.UrgentReservePercent), -1, 99)
+	within(f, "broker.urgentWaitPercent", int64(b.UrgentWaitPercent), -1, 10_000)
 	within(f, "broker.bulkAgeMs", b.BulkAgeMs, 1, 3_600_000)
 	within(f, "broker.bulkShare", int64(b.BulkShare), 1, 1000)
 	within(f, "broker.leaseMs", b.LeaseMs, 10, 600_000)
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -37,6 +37,7 @@
 	{"broker.routing", `"nearest"`, "broker, random, leastInFlight, twoChoices"},
 	{"broker.order", `"lifo"`, "fewestLeft, fifo"},
 	{"broker.urgentReservePercent", "100", "-1 to 99"},
+	{"broker.urgentWaitPercent", "10001", "-1 to 10000"},
 	{"broker.bulkAgeMs", "-1", "1 to 3600000"},
 	{"broker.bulkShare", "-1", "1 to 1000"},
 	{"broker.leaseMs", "-1", "10 to 600000"},
