entry: bound the requests that wait for other entries

Cause: a request for an id of another entry is passed on and held, with its body, until the owner answers or its time is up, also when the caller has left. A caller could pile up any number of them. Each takes a connection of the owner's peer listener, where heartbeats need room. Change: at most 2,048 forwards an entry, which count towards heldBytes with twice their body; more are refused as overloaded/mayHaveRun, since only the owner can say that a job did not run. limits.peerConnections has a default of 32,768, above what the entries of a failure domain can pass on together. Test: TestForwardsAreBounded; without the change 2,049 forwards of 409 MB are accepted under a limit of 1 MiB.

--- a/entry/check.go
+++ b/entry/check.go
@@ -112,6 +112,8 @@
 		f.Add("limits.defaultDeadlineMs", l.DefaultDeadlineMs, "at most limits.maxDeadlineMs")
 	}
 	f.Range("limits.connections", &l.Connections, 4096, 1, 1_000_000)
-	f.Range("limits.peerConnections", &l.PeerConnections, 4096, 1, 1_000_000)
+	// Peers are trusted. Each request that another entry passes on takes a
+	// connection, and must not take the place of heartbeats.
+	f.Range("limits.peerConnections", &l.PeerConnections, 32_768, 1, 1_000_000)
 	f.Range("limits.operatorConnections", &l.OperatorConnections, 256, 1, 1_000_000)
 }
--- a/entry/dispatcher/answer.go
+++ b/entry/dispatcher/answer.go
@@ -63,7 +63,7 @@
 
 func (s *State) fetch(now time.Time, msg Fetch) {
 	if !s.jobs.Issuer.Owns(msg.ID) {
-		s.forward(msg.Waiter, msg.Forwarded, Forward{
+		s.forward(now, msg.Waiter, msg.Forwarded, 0, Forward{
 			Method: http.MethodGet, Address: msg.ID.Address, JobID: msg.Text,
 			Timeout: time.Duration(msg.WaitMs)*time.Millisecond + time.Second,
 		})
@@ -85,7 +85,7 @@
 
 func (s *State) cancel(now time.Time, msg Cancel) {
 	if !s.jobs.Issuer.Owns(msg.ID) {
-		s.forward(msg.Waiter, msg.Forwarded, Forward{
+		s.forward(now, msg.Waiter, msg.Forwarded, 0, Forward{
 			Method: http.MethodDelete, Address: msg.ID.Address, JobID: msg.Text, Timeout: s.cfg.DefaultDeadline,
 		})
 		return
@@ -117,16 +117,35 @@
 	}
 }
 
+// maxForwards bounds the requests that wait for other entries, each of which
+// takes a connection of its owner's peer listener. With the entries of a failure
+// domain sending this many, heartbeats still find room there.
+const maxForwards = 2048
+
+// forwardOverhead is an upper estimate of what a forwarded request holds besides
+// its body: a goroutine, and a connection with its buffers.
+const forwardOverhead = 16 << 10
+
 // forward passes a request to the entry that issued the id. Nobody else may
-// start the job or promise that it did not run.
-func (s *State) forward(w Waiter, forwarded bool, f Forward) {
+// start the job or promise that it did not run. Bytes is the size of the body.
+func (s *State) forward(now time.Time, w Waiter, forwarded bool, bytes int64, f Forward) {
 	if forwarded || f.Address == s.cfg.Self.Address {
 		delete(s.moreIDs, w)
 		s.emit(Count{Group: "refusal", Reason: string(messenger.OwnerGone)})
 		s.reply(w, messenger.Refusal(f.JobID, messenger.NewError(messenger.OwnerGone, "")))
 		return
 	}
+	// The body is held decoded and encoded.
+	cost := 2*bytes + forwardOverhead
+	if s.forwards >= maxForwards || s.jobs.Bytes+s.forwardBytes+cost > s.cfg.MaxHeldBytes {
+		e := messenger.NewError(messenger.Overloaded, "too many requests wait for other entries").After(s.spread(500))
+		e.Ran, e.SafeToResubmit = messenger.MayHaveRun, false
+		s.refuse(now, w, f.JobID, e)
+		return
+	}
 	s.forwards++
+	s.forwardCost[w] = cost
+	s.forwardBytes += cost
 	f.Waiter = w
 	if _, ok := s.moreIDs[w]; ok {
 		// The ids come from this entry. A number that is not allowed stays, so
@@ -139,6 +158,8 @@
 
 func (s *State) forwarded(now time.Time, msg Forwarded) {
 	s.forwards--
+	s.forwardBytes -= s.forwardCost[msg.Waiter]
+	delete(s.forwardCost, msg.Waiter)
 	if msg.Err == nil {
 		s.answer(now, msg.Waiter, msg.Answer)
 		return
--- a/entry/dispatcher/state.go
+++ b/entry/dispatcher/state.go
@@ -74,6 +74,10 @@
 
 	// forwards counts requests passed to other entries and not yet answered.
 	forwards int
+	// forwardCost holds the bytes that each of them takes, by waiter, and
+	// forwardBytes their sum: a forward goes on when its caller has left.
+	forwardCost  map[Waiter]int64
+	forwardBytes int64
 	// moreIDs holds how many unused ids a waiter asked for with its answer.
 	moreIDs map[Waiter]int
 	// untilAdmitted holds waiters that want to know only whether their job,
@@ -104,6 +108,8 @@
 		rand:     rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Incarnation)),
 		moreIDs:  map[Waiter]int{},
 
+		forwardCost: map[Waiter]int64{},
+
 		untilAdmitted: map[string]Waiter{},
 		links:         map[string]*link{},
 		senders:       map[messenger.Member]*sender{},
--- a/entry/dispatcher/submit.go
+++ b/entry/dispatcher/submit.go
@@ -31,7 +31,7 @@
 		return
 	}
 	if !s.jobs.Issuer.Owns(msg.ID) {
-		s.forward(msg.Waiter, msg.Forwarded, Forward{
+		s.forward(now, msg.Waiter, msg.Forwarded, msg.Bytes, Forward{
 			Method: http.MethodPost, Address: msg.ID.Address, JobID: sub.ID, Submission: sub,
 			Timeout: s.deadlineOf(sub),
 		})
@@ -141,7 +141,7 @@
 		return messenger.NewError(messenger.BadRequest, "priority: the configuration has this request type as bulk")
 	case sub.Idempotent != nil && *sub.Idempotent && !rt.Idempotent:
 		return messenger.NewError(messenger.BadRequest, "idempotent: the configuration has this request type as non-idempotent")
-	case s.jobs.Bytes+bytes > s.cfg.MaxHeldBytes:
+	case s.jobs.Bytes+s.forwardBytes+bytes > s.cfg.MaxHeldBytes:
 		return messenger.NewError(messenger.Overloaded, "the entry holds too many bytes").After(s.spread(500))
 	}
 	return nil
