messenger: write heartbeats with one string per row and few header fields

A row is now "address incarnation counter ageMs" with numbers in base 36, and the sender's own row takes the place of "from". Between entries with the same members (digest) only counters and their ages are needed. Client.Beat and ReplyHeartbeat leave out User-Agent, Content-Type and Date.

--- a/core/messenger/heartbeat.go
+++ b/core/messenger/heartbeat.go
@@ -1,18 +1,188 @@
 package messenger
 
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
 // MemberState is one row of a heartbeat: a member of the failure domain, its
-// heartbeat counter as the sender last saw it, and whether it is stopping.
+// heartbeat counter as the sender last saw it, how long ago the member itself
+// moved it as far as the sender can tell, and whether the member is stopping.
 type MemberState struct {
 	Member   Member `json:"member"`
 	Counter  uint64 `json:"counter"`
+	AgeMs    int64  `json:"ageMs,omitempty"`
 	Stopping bool   `json:"stopping,omitempty"`
 }
 
 // Heartbeat is the body of POST /peer/v1/heartbeat, and of its reply. Between
-// failure domains Members is empty and only ConfigVersion counts.
+// failure domains only From and ConfigVersion count.
+//
+// Digest stands for the set of members that the sender holds for live. If the
+// receiver's is the same, Counters holds their counters in the order of their
+// addresses, without the sender's and the receiver's, and 0 for one that the
+// receiver has already; AgesMs holds the ages of those that are not 0. Members
+// holds the sender's own row and, if the sets may
+// differ, rows of others. Refused lists addresses that refuse connections.
 type Heartbeat struct {
-	From          Member        `json:"from"`
-	FailureDomain string        `json:"failureDomain"`
-	ConfigVersion int64         `json:"configVersion"`
-	Members       []MemberState `json:"members,omitempty"`
+	From          Member
+	FailureDomain string
+	ConfigVersion int64
+	Digest        uint32
+	Members       []MemberState
+	Counters      []uint64
+	AgesMs        []int64
+	Refused       []string
+}
+
+// heartbeatBody is the JSON form of a heartbeat. Rows are strings, because
+// nested objects took most of the bytes of control traffic.
+type heartbeatBody struct {
+	From          string   `json:"from"`
+	FailureDomain string   `json:"domain,omitempty"`
+	ConfigVersion int64    `json:"version,omitempty"`
+	Digest        uint32   `json:"digest,omitempty"`
+	Members       []string `json:"members,omitempty"`
+	Counters      []uint64 `json:"counters,omitempty"`
+	AgesMs        []int64  `json:"agesMs,omitempty"`
+	Refused       []string `json:"refused,omitempty"`
+}
+
+// MarshalJSON writes a member as "address incarnation" and a row as "address
+// incarnation counter", followed by " ageMs" if that is not 0 or the member is
+// stopping, and then by " stopping" if it is. Numbers are in base 36. The
+// sender's own row takes the place of "from".
+func (h Heartbeat) MarshalJSON() ([]byte, error) {
+	body := heartbeatBody{
+		FailureDomain: h.FailureDomain, ConfigVersion: h.ConfigVersion,
+		Digest: h.Digest, Counters: h.Counters, AgesMs: h.AgesMs, Refused: h.Refused,
+	}
+	rows := h.Members
+	if len(rows) > 0 && rows[0].Member == h.From {
+		body.From = formatRow(rows[0])
+		rows = rows[1:]
+	} else {
+		body.From = formatMember(h.From)
+	}
+	for _, r := range rows {
+		body.Members = append(body.Members, formatRow(r))
+	}
+	return json.Marshal(body)
+}
+
+// UnmarshalJSON reads what MarshalJSON writes. Unknown fields are errors.
+func (h *Heartbeat) UnmarshalJSON(data []byte) error {
+	var body heartbeatBody
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&body); err != nil {
+		return err
+	}
+	from, own, err := parseRow(body.From)
+	if err != nil {
+		return errors.Wrap(err, "from")
+	}
+	*h = Heartbeat{
+		From: from.Member, FailureDomain: body.FailureDomain, ConfigVersion: body.ConfigVersion,
+		Digest: body.Digest, Counters: body.Counters, AgesMs: body.AgesMs, Refused: body.Refused,
+	}
+	if own {
+		h.Members = append(h.Members, from)
+	}
+	for _, text := range body.Members {
+		r, whole, err := parseRow(text)
+		if err != nil || !whole {
+			return errors.Newf("members: %q is not a row", text)
+		}
+		h.Members = append(h.Members, r)
+	}
+	return nil
+}
+
+const (
+	rowBase     = 36
+	rowStopping = "stopping"
+)
+
+func formatMember(m Member) string {
+	return m.Address + " " + strconv.FormatUint(m.Incarnation, rowBase)
+}
+
+func formatRow(r MemberState) string {
+	text := formatMember(r.Member) + " " + strconv.FormatUint(r.Counter, rowBase)
+	if r.AgeMs != 0 || r.Stopping {
+		text += " " + strconv.FormatInt(r.AgeMs, rowBase)
+	}
+	if r.Stopping {
+		text += " " + rowStopping
+	}
+	return text
+}
+
+// parseRow reads a row, or only a member; whole tells which.
+func parseRow(text string) (r MemberState, whole bool, err error) {
+	parts := strings.Split(text, " ")
+	if len(parts) < 2 || len(parts) > 5 || len(parts) == 5 && parts[4] != rowStopping {
+		return r, false, errors.Newf("%q is neither a member nor a row", text)
+	}
+	r.Member.Address = parts[0]
+	if r.Member.Incarnation, err = strconv.ParseUint(parts[1], rowBase, 64); err != nil {
+		return r, false, errors.Wrap(err, "incarnation")
+	}
+	if len(parts) == 2 {
+		return r, false, nil
+	}
+	if r.Counter, err = strconv.ParseUint(parts[2], rowBase, 64); err != nil {
+		return r, false, errors.Wrap(err, "counter")
+	}
+	if len(parts) > 3 {
+		if r.AgeMs, err = strconv.ParseInt(parts[3], rowBase, 64); err != nil {
+			return r, false, errors.Wrap(err, "age")
+		}
+	}
+	r.Stopping = len(parts) == 5
+	return r, true, nil
+}
+
+// plainTransport sends requests without header fields that the receiver of a
+// heartbeat does not need.
+type plainTransport struct{ base http.RoundTripper }
+
+// RoundTrip sends a copy of req without these fields.
+func (t plainTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	plain := *req
+	// An empty User-Agent keeps net/http from adding its own.
+	plain.Header = http.Header{"User-Agent": {""}}
+	return t.base.RoundTrip(&plain)
+}
+
+// Beat sends a heartbeat to the entry at address (IP:port) and returns its
+// reply. Errors are those of [Client.Call], or tell a status of 300 or more.
+func (c Client) Beat(ctx context.Context, address string, beat Heartbeat) (Heartbeat, error) {
+	var reply Heartbeat
+	plain := Client{Transport: plainTransport{c.transport()}}
+	status, err := plain.Call(ctx, http.MethodPost, "http://"+address+"/peer/v1/heartbeat", beat, &reply)
+	if err == nil && status >= http.StatusMultipleChoices {
+		err = errors.Newf("heartbeat to %s: status %d", address, status)
+	}
+	return reply, err
+}
+
+// ReplyHeartbeat writes h without header fields that the sender of a heartbeat
+// does not need. A write error means that the reader is gone, and is dropped.
+func ReplyHeartbeat(w http.ResponseWriter, h Heartbeat) {
+	w.Header()["Date"] = nil
+	w.Header()["Content-Type"] = nil
+	data, err := json.Marshal(h)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(data)
 }
