entry/broker: measure what the expiry of grants costs and saves

Cause: it was not measured how many slots a killed entry leaves behind, and what freeing them by expiry costs. Change: the simulation takes several entries, which can be killed. Conclusion: the leases stay as they are. They need no messages; tasks longer than the lease lead to busy replies after a death.

--- a/entry/broker/simulation_test.go
+++ b/entry/broker/simulation_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
+	"github.com/godwitrelay/godwitrelay/core/planner"
 )
 
 const (
@@ -17,18 +18,29 @@
 	simRun     = 60 * time.Second
 	simWarm    = 10 * time.Second
 	simDelay   = 500 * time.Microsecond
+	simMeanRun = 0.150
 )
 
 // simJob is a job of the simulation. Its ideal response time is its longest
 // task plus the shortest path of messages.
 type simJob struct {
 	messenger.SlotRequest
+	entry   *simEntry
 	runs    []time.Duration
 	left    int
 	started time.Time
 	ended   bool
 }
 
+// simEntry is an entry process. A killed one sends and takes nothing more; its
+// targets go on with the tasks that it had started.
+type simEntry struct {
+	member messenger.Member
+	killed bool
+	// running counts its tasks on the targets.
+	running int
+}
+
 type simEvent struct {
 	at       time.Time
 	sequence int
@@ -36,40 +48,60 @@
 	do       func()
 }
 
-// simulation runs one broker, one entry and the targets in virtual time.
+// simulation runs one broker, its entries and the targets in virtual time.
 type simulation struct {
 	*bench
-	random  *rand.Rand
-	events  heap[*simEvent]
-	count   int
-	jobs    map[string]*simJob
-	running map[string]int
+	entries []*simEntry
+	// meanRun is the mean run time of tasks in seconds.
+	meanRun float64
+	// measuredFrom is when jobs begin to count.
+	measuredFrom time.Time
+	random       *rand.Rand
+	events       heap[*simEvent]
+	count        int
+	jobs         map[string]*simJob
+	running      map[string]int
 	// broken fails all its tasks from simWarm on.
 	broken                              string
 	ratios                              [classes][]float64
 	offered, completed, refused, missed [classes]int
 	goodMs                              float64
 	starts, brokenLate, wasted          int
+	busy, done, needFulls, expired      int
 }
 
-func simulate(settings Settings, load, urgentPart float64, broken bool) *simulation {
-	s := &simulation{bench: newBench(testConfiguration(simTargets*simSlots), settings, simTargets, simSlots), random: rand.New(rand.NewPCG(1, 2)), jobs: map[string]*simJob{}, running: map[string]int{}}
+func newSimulation(c planner.Configuration, settings Settings, seed uint64) *simulation {
+	s := &simulation{
+		bench: newBench(c, settings, simTargets, simSlots), random: rand.New(rand.NewPCG(seed, 2)),
+		entries: []*simEntry{{member: self}}, meanRun: simMeanRun, measuredFrom: epoch.Add(simWarm),
+		jobs: map[string]*simJob{}, running: map[string]int{},
+	}
 	s.events = heap[*simEvent]{place: func(e *simEvent) *int { return &e.place }, less: func(a, b *simEvent) bool {
 		return a.at.Before(b.at) || a.at.Equal(b.at) && a.sequence < b.sequence
 	}}
+	return s
+}
+
+func simulate(settings Settings, load, urgentPart float64, broken bool) *simulation {
+	s := newSimulation(testConfiguration(simTargets*simSlots), settings, 1)
 	if broken {
 		s.broken = "10.0.0.7:80"
 	}
+	s.run(load, urgentPart, simRun)
+	return s
+}
+
+// run lets jobs arrive for the time given.
+func (s *simulation) run(load, urgentPart float64, length time.Duration) {
 	s.arrive(urgent, load*urgentPart)
 	s.arrive(bulk, load*(1-urgentPart))
 	s.tick()
-	for s.events.len() > 0 && s.events.top().at.Before(epoch.Add(simRun)) {
+	for s.events.len() > 0 && s.events.top().at.Before(epoch.Add(length)) {
 		e := s.events.top()
 		s.events.remove(e)
 		s.at = e.at
 		e.do()
 	}
-	return s
 }
 
 func (s *simulation) after(d time.Duration, do func()) {
@@ -85,40 +117,53 @@
 // arrive submits jobs at random times: urgent jobs of 1 to 8 tasks, bulk jobs
 // of 1 to 100.
 func (s *simulation) arrive(c class, load float64) {
-	const meanRun = 0.150
 	meanTasks := []float64{4.5, 50.5}[c]
-	rate := load * simTargets * simSlots / meanRun / meanTasks
+	rate := load * simTargets * simSlots / s.meanRun / meanTasks
 	if rate == 0 {
 		return
 	}
 	s.after(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), func() {
-		s.submit(c, 1+s.random.IntN([]int{8, 100}[c]), meanRun)
+		s.submit(c, 1+s.random.IntN([]int{8, 100}[c]))
 		s.arrive(c, load)
 	})
 }
 
-func (s *simulation) submit(c class, tasks int, meanRun float64) {
+func (s *simulation) submit(c class, tasks int) {
 	s.count++
 	j := &simJob{SlotRequest: testRequest(fmt.Sprint("job", s.count), []string{"check", "batch"}[c], tasks), left: tasks, started: s.at}
 	j.Priority = []messenger.Priority{messenger.Urgent, messenger.Bulk}[c]
-	j.DeadlineInMs = []int64{3000, 10_000}[c]
+	j.entry = s.liveEntry()
+	j.DeadlineInMs = int64([]float64{3000, 10_000}[c] * (s.meanRun / simMeanRun))
 	for range tasks {
 		// Log-normal with a deviation of 0.6: a few tasks take several times
 		// the mean.
-		j.runs = append(j.runs, time.Duration(meanRun*math.Exp(0.6*s.random.NormFloat64()-0.18)*float64(time.Second)))
+		j.runs = append(j.runs, time.Duration(s.meanRun*math.Exp(0.6*s.random.NormFloat64()-0.18)*float64(time.Second)))
 	}
-	j.DeclaredRunMs = int64(meanRun * 1000 * math.Pow(5, 2*s.random.Float64()-1))
+	j.DeclaredRunMs = int64(s.meanRun * 1000 * math.Pow(5, 2*s.random.Float64()-1))
 	s.jobs[j.JobID] = j
 	if s.measured(j) {
 		s.offered[c]++
 	}
-	s.send(messenger.SlotsRequest{Requests: []messenger.SlotRequest{j.SlotRequest}})
+	s.send(j.entry, messenger.SlotsRequest{Requests: []messenger.SlotRequest{j.SlotRequest}})
+}
+
+// liveEntry picks the entry that gets the next job.
+func (s *simulation) liveEntry() *simEntry {
+	for {
+		e := s.entries[0]
+		if n := len(s.entries); n > 1 {
+			e = s.entries[s.random.IntN(n)]
+		}
+		if !e.killed {
+			return e
+		}
+	}
 }
 
-func (s *simulation) measured(j *simJob) bool { return j.started.Sub(epoch) > simWarm }
+func (s *simulation) measured(j *simJob) bool { return j.started.After(s.measuredFrom) }
 
-func (s *simulation) send(r messenger.SlotsRequest) {
-	s.after(simDelay, func() { s.receive(s.from(self, r)) })
+func (s *simulation) send(e *simEntry, r messenger.SlotsRequest) {
+	s.after(simDelay, func() { s.receive(s.from(e.member, r)) })
 }
 
 func (s *simulation) receive(cmds []Cmd) {
@@ -130,11 +175,19 @@
 			})
 		case Send:
 			s.after(simDelay, func() { s.take(c) })
+		case Count:
+			s.expired += count(c.Reason == "expired")
 		}
 	}
 }
 
 func (s *simulation) take(c Send) {
+	i := slices.IndexFunc(s.entries, func(e *simEntry) bool { return e.member == c.To })
+	if i < 0 || s.entries[i].killed {
+		s.after(simDelay, func() { s.receive(s.do(Undelivered{To: c.To})) })
+		return
+	}
+	s.needFulls += count(c.NeedFull)
 	for _, r := range c.Refusals {
 		j := s.jobs[r.JobID]
 		if !j.ended && s.measured(j) {
@@ -159,6 +212,7 @@
 	case s.running[g.Target] >= simSlots:
 		r.Outcome, r.Requeue, run = messenger.GrantBusy, !j.ended, 0
 		s.wasted++
+		s.busy++
 	case g.Target == s.broken && s.at.Sub(epoch) > simWarm:
 		r.Outcome, run = messenger.GrantFailed, time.Millisecond
 		s.wasted++
@@ -168,31 +222,37 @@
 	}
 	r.RunMs = run.Milliseconds()
 	s.running[g.Target]++
+	j.entry.running++
 	s.after(run, func() {
 		s.running[g.Target]--
+		j.entry.running--
 		s.after(simDelay, func() { s.finish(j, r) })
 	})
 }
 
 func (s *simulation) finish(j *simJob, r messenger.Release) {
+	if j.entry.killed {
+		return
+	}
 	m := messenger.SlotsRequest{Releases: []messenger.Release{r}}
 	switch {
 	case r.Outcome == messenger.GrantFailed && !j.ended:
 		j.ended = true
 		m.Cancels = []string{j.JobID}
 	case r.Outcome == messenger.GrantDone:
+		s.done++
 		if j.left--; j.left == 0 && !j.ended {
 			s.complete(j)
 		}
 	}
-	s.send(m)
+	s.send(j.entry, m)
 }
 
 func (s *simulation) complete(j *simJob) {
 	j.ended = true
 	c := classOf(j.Priority)
 	late := s.at.Sub(j.started).Milliseconds() > j.DeadlineInMs
-	if !late && s.at.Sub(epoch) > simWarm {
+	if !late && s.at.After(s.measuredFrom) {
 		for _, d := range j.runs {
 			s.goodMs += float64(d.Milliseconds())
 		}
