--- a/proof/conductor/deployment.go
+++ b/proof/conductor/deployment.go
@@ -148,10 +148,12 @@
 	if err := d.apply("first", 0, "--timeout", "30s"); err != nil {
 		return err
 	}
-	for _, name := range d.names("") {
-		if p := d.processes[name]; p != d.platform {
-			if err := d.start(p); err != nil {
-				return err
+	for _, step := range []func(*process) error{d.spawn, d.open} {
+		for _, name := range d.names("") {
+			if p := d.processes[name]; p != d.platform {
+				if err := step(p); err != nil {
+					return err
+				}
 			}
 		}
 	}
--- a/proof/conductor/process.go
+++ b/proof/conductor/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -36,16 +37,41 @@
 	frozen  bool
 }
 
-// start starts the program with its settings.
+// start starts a program and opens its announced addresses.
 func (d *Deployment) start(p *process) error {
-	if p.alive() {
-		return errors.Newf("%s runs already", p.name)
+	if err := d.spawn(p); err != nil {
+		return err
 	}
+	return d.open(p)
+}
+
+// open opens the announced addresses once the program listens. Before, they
+// refuse connections, as the addresses of a program that is not there do: a
+// connection that is accepted and then closed is another fault.
+func (d *Deployment) open(p *process) error {
 	for announced, bound := range p.forwards {
+		err := d.poll(p.name+" to listen", func() (bool, error) {
+			conn, err := (&net.Dialer{Timeout: replyBound}).DialContext(context.Background(), "tcp", bound)
+			if err != nil {
+				return false, err
+			}
+			return true, conn.Close()
+		})
+		if err != nil {
+			return err
+		}
 		if err := d.network.Forward(p.name, announced, bound); err != nil {
 			return err
 		}
 	}
+	return nil
+}
+
+// spawn starts the program with its settings.
+func (d *Deployment) spawn(p *process) error {
+	if p.alive() {
+		return errors.Newf("%s runs already", p.name)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p.runs++
