--- a/entry/dispatcher/task.go
+++ b/entry/dispatcher/task.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"encoding/json"
 	"fmt"
 	"strconv"
 	"time"
@@ -47,6 +48,9 @@
 			reason = "lapsedGrant"
 		}
 		s.emit(Count{Group: "wasted", Reason: reason})
+		if wanted {
+			s.emit(Count{Group: "retry", Reason: string(messenger.GrantUnused)})
+		}
 		s.release(now, messenger.Release{Grant: g, Outcome: messenger.GrantUnused, Requeue: wanted})
 		return
 	}
@@ -55,7 +59,7 @@
 
 func (s *State) start(now time.Time, j *registrar.Job, g messenger.Grant) {
 	s.admitted(now, j)
-	j.Tasks[g.Task] = registrar.Task{State: registrar.Running, Grant: g, Since: now}
+	j.Tasks[g.Task] = registrar.Task{State: registrar.Running}
 	j.Started++
 	s.held[taskKey{g.JobID, g.Task}] = heldTask{
 		grant: g, team: j.Team, requestType: j.RequestType, priority: j.Priority, since: now,
@@ -134,6 +138,9 @@
 	}
 	t.State = registrar.Done
 	if v.kind == "" && !j.Finished() {
+		if j.Results == nil {
+			j.Results = make([]json.RawMessage, len(j.Tasks))
+		}
 		j.Results[msg.Task] = msg.Reply.Result
 		j.Left--
 	}
