--- a/entry/gossiper/gossiper.go
+++ b/entry/gossiper/gossiper.go
@@ -140,11 +140,12 @@
 }
 
 // Members returns the rows of the membership, this entry included, sorted by
-// address. Suspected members are in it until they are forgotten.
+// address, with ages as of the last event. Suspected members are in it until
+// they are forgotten.
 func (s *State) Members() []messenger.MemberState {
 	list := make([]messenger.MemberState, 0, len(s.rows)+1)
-	for _, r := range s.rows {
-		list = append(list, r.MemberState)
+	for i := range s.rows {
+		list = append(list, s.rows[i].state(s.updated))
 	}
 	i, _ := s.find(s.Self.Address)
 	return slices.Insert(list, i, s.own())
--- a/entry/gossiper/property_test.go
+++ b/entry/gossiper/property_test.go
@@ -113,6 +113,7 @@
 
 // Guards against a domain that splits for good or keeps dead members.
 func TestConvergence(t *testing.T) {
+	t.Parallel()
 	params := gopter.DefaultTestParametersWithSeed(13)
 	params.MinSuccessfulTests = 25
 	properties := gopter.NewProperties(params)
--- a/entry/gossiper/recovery_test.go
+++ b/entry/gossiper/recovery_test.go
@@ -15,6 +15,7 @@
 func TestFrozenProcess(t *testing.T) {
 	for _, n := range []int{3, 8, 16} {
 		t.Run(fmt.Sprintf("%d members", n), func(t *testing.T) {
+			t.Parallel()
 			w := newNetwork(n, 0, 7)
 			w.pass(5 * time.Second)
 			w.nodes[0].down = true
@@ -81,6 +82,7 @@
 
 // Control traffic must neither grow with the number of entries, nor with loss.
 func TestTrafficIsBounded(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{2, 4, 8, 16, 32} {
 		w := newNetwork(n, 0.05, 2)
 		w.pass(10 * time.Second)
@@ -115,6 +117,14 @@
 		wantChanged(t, e.hear(at(2, 6, 1), aged(8, 1500)), self, member(1, 5), member(2, 6))
 		wantUnchanged(t, e.pass(900))
 	})
+	t.Run("are shown", func(t *testing.T) {
+		e := newEntry(t, gossiper.Settings{})
+		e.hear(at(2, 6, 1), aged(7, 300))
+		e.pass(200)
+		if m := e.state.Members()[1]; m != aged(7, 500) {
+			t.Fatalf("got %v", m)
+		}
+	})
 	t.Run("are passed on", func(t *testing.T) {
 		e := newEntry(t, gossiper.Settings{})
 		e.hear(at(2, 6, 1), aged(7, 300))
