entry: test for wrapped errors in place of linter exceptions

Cause: four linter exceptions stood where errors.Is and a context do. Change: they are gone. Test: the tests of entry and its listener pass.

--- a/entry/gossiper/traffic_test.go
+++ b/entry/gossiper/traffic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -31,7 +32,7 @@
 
 func requestHead(header http.Header) int {
 	body := bytes.Repeat([]byte("x"), 400)
-	r, err := http.NewRequest(http.MethodPost, "http://"+address(0)+"/peer/v1/heartbeat", bytes.NewReader(body)) //nolint:noctx // It is only written to a buffer.
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+address(0)+"/peer/v1/heartbeat", bytes.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
--- a/entry/hostile_test.go
+++ b/entry/hostile_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strings"
 	"testing"
@@ -141,7 +143,7 @@
 func wantClosed(t *testing.T, c net.Conn) {
 	t.Helper()
 	_, err := io.Copy(io.Discard, c)
-	if netErr, ok := err.(net.Error); ok && netErr.Timeout() { //nolint:errorlint // not wrapped
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Fatal("the connection stays open")
 	}
 }
@@ -213,7 +215,7 @@
 			conn := dial(t, e.callers)
 			for {
 				if _, err := io.WriteString(conn, request); err != nil {
-					if netErr, ok := err.(net.Error); ok && netErr.Timeout() { //nolint:errorlint // not wrapped
+					if errors.Is(err, os.ErrDeadlineExceeded) {
 						t.Fatal("the connection stays open")
 					}
 					break
--- a/entry/listener/guard.go
+++ b/entry/listener/guard.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"path"
@@ -42,7 +43,7 @@
 // Read reads the next part of the body.
 func (b *boundBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF && !b.whole { //nolint:errorlint // io.Reader returns io.EOF itself
+	if errors.Is(err, io.EOF) && !b.whole {
 		b.whole = true
 		_ = b.control.SetReadDeadline(time.Time{})
 	}
