--- a/core/messenger/heartbeat_test.go
+++ b/core/messenger/heartbeat_test.go
@@ -122,6 +122,12 @@
 		t.Errorf("status 404: error %v", err)
 	}
 	server.Close()
+	// A pooled connection breaks while the request is written, which does not
+	// prove that nothing arrived: a new client has to dial.
+	if _, err := client.Beat(t.Context(), address, Heartbeat{}); err == nil {
+		t.Error("a closed server answered")
+	}
+	client = Client{Transport: NewTransport(1, time.Second)}
 	if _, err := client.Beat(t.Context(), address, Heartbeat{}); !errors.Is(err, ErrNotSent) {
 		t.Errorf("refused connection: error %v is not ErrNotSent", err)
 	}
--- a/proof/scenario_test.go
+++ b/proof/scenario_test.go
@@ -41,7 +41,7 @@
 	t.Helper()
 	folder := t.TempDir()
 	program := func(module string) string {
-		path := filepath.Join(folder, "godwit-"+module)
+		path := filepath.Join(folder, "godwit-"+filepath.Base(module))
 		out, err := exec.CommandContext(t.Context(), "go", "build", "-race", "-o", path, "../"+module).CombinedOutput()
 		if err != nil {
 			t.Fatalf("building %s: %v\n%s", module, err, out)
@@ -49,7 +49,7 @@
 		return path
 	}
 	return conductor.Programs{
-		Entry: program("entry"), Platform: program("platform"), Target: program("target"), Operator: program("operator"),
+		Entry: program("entry"), Platform: program("standin/platform"), Target: program("standin/target"), Operator: program("operator"),
 	}
 }
 
--- a/platform/keeper/state_test.go
+++ b/standin/platform/keeper/state_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
-	"github.com/godwitrelay/godwitrelay/platform/keeper"
+	"github.com/godwitrelay/godwitrelay/standin/platform/keeper"
 )
 
 var start = time.Unix(1_700_000_000, 0)
--- a/platform/listener/listener.go
+++ b/standin/platform/listener/listener.go
@@ -12,7 +12,7 @@
 
 	"github.com/godwitrelay/godwitrelay/core/loader"
 	"github.com/godwitrelay/godwitrelay/core/messenger"
-	"github.com/godwitrelay/godwitrelay/platform/keeper"
+	"github.com/godwitrelay/godwitrelay/standin/platform/keeper"
 )
 
 // maxBodyBytes bounds every body but a log record.
--- a/platform/listener/listener_test.go
+++ b/standin/platform/listener/listener_test.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
-	"github.com/godwitrelay/godwitrelay/platform/keeper"
-	"github.com/godwitrelay/godwitrelay/platform/listener"
+	"github.com/godwitrelay/godwitrelay/standin/platform/keeper"
+	"github.com/godwitrelay/godwitrelay/standin/platform/listener"
 )
 
 type client struct {
--- a/platform/main.go
+++ b/standin/platform/main.go
@@ -18,8 +18,8 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/godwitrelay/godwitrelay/core/loader"
-	"github.com/godwitrelay/godwitrelay/platform/keeper"
-	"github.com/godwitrelay/godwitrelay/platform/listener"
+	"github.com/godwitrelay/godwitrelay/standin/platform/keeper"
+	"github.com/godwitrelay/godwitrelay/standin/platform/listener"
 )
 
 const logPrefix = "platform: "
--- a/platform/settings.go
+++ b/standin/platform/settings.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/godwitrelay/godwitrelay/core/loader"
-	"github.com/godwitrelay/godwitrelay/platform/keeper"
+	"github.com/godwitrelay/godwitrelay/standin/platform/keeper"
 )
 
 // settings is the content of the settings file.
--- a/target/fleet.go
+++ b/standin/target/fleet.go
@@ -13,9 +13,9 @@
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
 	"github.com/godwitrelay/godwitrelay/core/recorder"
-	"github.com/godwitrelay/godwitrelay/target/listener"
-	"github.com/godwitrelay/godwitrelay/target/reporter"
-	"github.com/godwitrelay/godwitrelay/target/worker"
+	"github.com/godwitrelay/godwitrelay/standin/target/listener"
+	"github.com/godwitrelay/godwitrelay/standin/target/reporter"
+	"github.com/godwitrelay/godwitrelay/standin/target/worker"
 )
 
 const (
--- a/target/listener/control.go
+++ b/standin/target/listener/control.go
@@ -7,7 +7,7 @@
 
 	"github.com/godwitrelay/godwitrelay/core/loader"
 	"github.com/godwitrelay/godwitrelay/core/messenger"
-	"github.com/godwitrelay/godwitrelay/target/worker"
+	"github.com/godwitrelay/godwitrelay/standin/target/worker"
 )
 
 // maxControlBytes bounds the body of POST /control.
--- a/target/listener/host.go
+++ b/standin/target/listener/host.go
@@ -14,8 +14,8 @@
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
 	"github.com/godwitrelay/godwitrelay/core/recorder"
-	"github.com/godwitrelay/godwitrelay/target/reporter"
-	"github.com/godwitrelay/godwitrelay/target/worker"
+	"github.com/godwitrelay/godwitrelay/standin/target/reporter"
+	"github.com/godwitrelay/godwitrelay/standin/target/worker"
 )
 
 const logPrefix = "target: "
--- a/target/listener/host_test.go
+++ b/standin/target/listener/host_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
 	"github.com/godwitrelay/godwitrelay/core/recorder"
-	"github.com/godwitrelay/godwitrelay/target/worker"
+	"github.com/godwitrelay/godwitrelay/standin/target/worker"
 )
 
 type lockedBuffer struct {
--- a/target/listener/task.go
+++ b/standin/target/listener/task.go
@@ -9,7 +9,7 @@
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
 	"github.com/godwitrelay/godwitrelay/core/recorder"
-	"github.com/godwitrelay/godwitrelay/target/worker"
+	"github.com/godwitrelay/godwitrelay/standin/target/worker"
 )
 
 // maxTaskBytes bounds the body of POST /v1/tasks.
--- a/target/main.go
+++ b/standin/target/main.go
@@ -20,7 +20,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/godwitrelay/godwitrelay/core/loader"
-	"github.com/godwitrelay/godwitrelay/target/listener"
+	"github.com/godwitrelay/godwitrelay/standin/target/listener"
 )
 
 // gcPercent trades memory, of which a target needs little, for processor time.
--- a/target/reporter/batch_test.go
+++ b/standin/target/reporter/batch_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/godwitrelay/godwitrelay/target/reporter"
+	"github.com/godwitrelay/godwitrelay/standin/target/reporter"
 )
 
 func wantNext(t *testing.T, b *reporter.Batch, id string, slotMs int64) {
--- a/target/worker/worker_test.go
+++ b/standin/target/worker/worker_test.go
@@ -11,7 +11,7 @@
 	"github.com/leanovate/gopter/prop"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
-	"github.com/godwitrelay/godwitrelay/target/worker"
+	"github.com/godwitrelay/godwitrelay/standin/target/worker"
 )
 
 var start = time.Unix(1_700_000_000, 0)
