--- /dev/null
+++ b/entry/placer/owner.go
@@ -0,0 +1,185 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/godwitrelay/godwitrelay/core/messenger"
+)
+
+// claim makes this entry the owner, or claims again the workers that another
+// owner took.
+func (s *State) claim(now time.Time, msg Claim) {
+	fence := msg.WallMs<<fenceSaltBits | s.salt
+	if fence <= s.fence {
+		fence = s.fence + fenceStep<<fenceSaltBits
+	}
+	s.fence = fence
+	if !s.owning {
+		s.owning, s.contested, s.ownedAt = true, msg.Contested, now
+		s.log("owner of the workers", map[string]any{"fence": fence, "contested": msg.Contested, "workers": len(s.order)})
+	}
+	s.contested = s.contested && msg.Contested
+	s.holdAll(now)
+}
+
+// release gives up all workers. Jobs move to the successor, or end without an
+// answer about their runs.
+func (s *State) release(now time.Time, msg Release) {
+	if !s.owning {
+		return
+	}
+	s.owning = false
+	for _, j := range s.sortedJobs() {
+		if msg.Moved {
+			s.answer(j, Result{Moved: true, Placements: j.placements()})
+		} else {
+			s.abandon(j, messenger.TargetLost, msg.Reason)
+		}
+	}
+	s.jobs, s.waiting = map[string]*job{}, nil
+	for _, w := range s.order {
+		w.phase, w.unanswered, w.holding = released, 0, false
+		w.forget()
+	}
+	s.log("released the workers", map[string]any{"moved": msg.Moved, "reason": msg.Reason})
+}
+
+// abandon answers a job whose runs are out of this entry's control.
+func (s *State) abandon(j *job, kind messenger.Kind, reason string) {
+	if !j.offered {
+		kind = messenger.NoTarget
+	}
+	s.answer(j, Result{Err: messenger.NewError(kind, reason)})
+}
+
+// holdAll sends a hold to every worker that is due for one.
+func (s *State) holdAll(now time.Time) {
+	for _, w := range s.order {
+		if w.phase == released && s.mayClaim(now, w) {
+			w.phase, w.fence, w.claimedAt = claiming, s.fence, now
+			w.forget()
+		}
+		if w.phase != released && !w.holding && !now.Before(w.retryAt) {
+			s.hold(now, w)
+		}
+	}
+}
+
+// mayClaim tells whether a worker may be claimed now. While ownership is
+// contested, one worker of a failure domain goes first.
+func (s *State) mayClaim(now time.Time, w *worker) bool {
+	if w.gone || now.Before(w.retryAt) {
+		return false
+	}
+	if !s.contested {
+		return true
+	}
+	for _, o := range s.order {
+		if o == w || o.FailureDomain != w.FailureDomain || o.phase == released {
+			continue
+		}
+		if o.phase == owned && o.unanswered == 0 && o.answeredAt.Sub(o.claimedAt) >= contestedFor {
+			return true
+		}
+		if o.unanswered == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *State) hold(now time.Time, w *worker) {
+	wait := holdWait
+	switch {
+	case w.clockAt.IsZero() || w.phase == claiming || w.unanswered > 0:
+		wait = 0
+	case s.contested:
+		wait = contestedWait
+	}
+	w.holding, w.holdSent = true, now
+	s.do(Hold{
+		Worker: w.ID, Address: w.Address, Fence: w.fence, LastEnd: w.lastEnd,
+		UntilMs: w.until(now, leaseFor), Wait: wait,
+	})
+}
+
+func (s *State) held(now time.Time, msg Held) {
+	w := s.workers[msg.Worker]
+	if w == nil || w.phase == released || msg.Fence != w.fence || !w.holding {
+		return
+	}
+	w.holding = false
+	switch msg.Result {
+	case HoldFenced:
+		s.fenced(now, w)
+		return
+	case HoldNoAnswer, HoldOtherLife:
+		s.unanswered(now, w, msg.Result)
+		return
+	case HoldAnswered:
+	}
+	if w.unanswered >= silentHolds {
+		s.log("worker answers again", map[string]any{"worker": w.ID, "unanswered": w.unanswered})
+	}
+	if msg.BornMs > 0 && msg.BornMs != w.BornMs {
+		if w.BornMs > 0 {
+			s.reborn(now, w, msg.BornMs)
+		}
+		w.BornMs = msg.BornMs
+	}
+	w.phase, w.unanswered, w.answeredAt = owned, 0, now
+	w.clockMs, w.clockAt = msg.ClockMs, now
+	s.reconcile(now, w, msg)
+	if s.owning {
+		s.hold(now, w)
+	}
+}
+
+// fenced handles a worker that another owner has taken.
+func (s *State) fenced(now time.Time, w *worker) {
+	s.log("another owner took a worker", map[string]any{"worker": w.ID, "fence": w.fence, "phase": int(w.phase)})
+	s.do(Count{"worker", "fenced"})
+	s.loseRuns(now, w, "another entry took the worker over")
+	w.phase, w.retryAt = released, now.Add(retryHold)
+	w.forget()
+	s.do(Deposed{Worker: w.ID})
+}
+
+func (s *State) unanswered(now time.Time, w *worker, result HoldResult) {
+	w.unanswered++
+	w.retryAt = now.Add(retryHold)
+	if w.unanswered == silentHolds {
+		s.log("worker does not answer", map[string]any{
+			"worker": w.ID, "result": string(result), "ageMs": now.Sub(w.answeredAt).Milliseconds(), "runs": len(w.runs),
+		})
+		s.do(Count{"worker", "silent"})
+		s.loseRuns(now, w, "the worker does not answer")
+	}
+	if result == HoldOtherLife && w.phase == owned {
+		s.reborn(now, w, 0)
+	}
+	if w.unanswered > silentHolds && now.Sub(w.answeredAt) > stopFor {
+		w.forget()
+	}
+}
+
+// reborn handles a worker that started anew: nothing of before runs on it.
+func (s *State) reborn(now time.Time, w *worker, bornMs int64) {
+	s.log("worker started anew", map[string]any{"worker": w.ID, "runs": len(w.runs), "bornMs": bornMs})
+	runs := sortedRuns(w)
+	w.forget()
+	w.clockAt, w.health = time.Time{}, health{}
+	for _, r := range runs {
+		s.ended(now, w, r, EndLapsed)
+	}
+}
+
+// loseRuns ends the jobs with runs on a worker that is out of control. The runs
+// stay known, to be stopped when the worker answers.
+func (s *State) loseRuns(now time.Time, w *worker, reason string) {
+	for _, r := range sortedRuns(w) {
+		if j := r.job; j != nil {
+			s.fail(now, j, messenger.TargetLost, reason)
+		}
+	}
+}
--- /dev/null
+++ b/entry/relayer/handler.go
@@ -0,0 +1,69 @@
+package relayer
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/godwitrelay/godwitrelay/entry/placer"
+)
+
+// ReadyHandler answers the balancer's probes at path.
+func (r *Relayer) ReadyHandler(path string) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
+		if !r.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// MetricsHandler serves counters and histograms.
+func (r *Relayer) MetricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", r.Metrics.Handler())
+	return mux
+}
+
+// Cancel cancels a job on its caller's request and reports whether it was in
+// progress.
+func (r *Relayer) Cancel(ctx context.Context, jobID string) bool {
+	o := r.ownership.Load()
+	if o.address == r.Self.Address {
+		return r.cancelHere(jobID)
+	}
+	if o.address == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var known bool
+	status, err := r.Peers.Call(ctx, http.MethodDelete, "http://"+o.address+"/peer/v1/jobs/"+jobID, nil, &known)
+	if err != nil || status != http.StatusOK {
+		r.Log.WithField("job", jobID).WithField("status", status).WithError(err).Warn("relayer: passing on a cancel failed")
+		return false
+	}
+	return known
+}
+
+func (r *Relayer) cancelHere(jobID string) bool {
+	known := make(chan bool, 1)
+	r.post(cancelRequest{jobID, known})
+	select {
+	case v := <-known:
+		return v
+	case <-r.done:
+		return false
+	}
+}
+
+// cancelRequest asks the loop to cancel a job.
+type cancelRequest struct {
+	jobID string
+	known chan bool
+}
+
+func (r *Relayer) cancelMsg(c cancelRequest) placer.Cancel {
+	c.known <- r.placer.Has(c.jobID)
+	return placer.Cancel{JobID: c.jobID}
+}
--- /dev/null
+++ b/entry/relayer/log.go
@@ -0,0 +1,83 @@
+package relayer
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// logQueue bounds the lines that wait for a slow reader; more are dropped
+	// and counted.
+	logQueue = 2048
+	// flushWithin bounds the time that the last lines may take at the end.
+	flushWithin = 300 * time.Millisecond
+)
+
+// LogWriter writes lines in the background, so that a reader that is slow
+// never blocks a decision. Lines over its bound are dropped, and their number
+// is written later.
+type LogWriter struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	pending sync.WaitGroup
+}
+
+// NewLogWriter returns a writer to out.
+func NewLogWriter(out io.Writer) *LogWriter {
+	w := &LogWriter{out: out, lines: make(chan []byte, logQueue)}
+	go w.run()
+	return w
+}
+
+// Write queues a line.
+func (w *LogWriter) Write(line []byte) (int, error) {
+	w.pending.Add(1)
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.pending.Done()
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+func (w *LogWriter) run() {
+	batch := make([]byte, 0, 64<<10)
+	for line := range w.lines {
+		batch = append(batch[:0], line...)
+		n := 1
+		for more := true; more && len(batch) < 32<<10; {
+			select {
+			case line = <-w.lines:
+				batch = append(batch, line...)
+				n++
+			default:
+				more = false
+			}
+		}
+		if d := w.dropped.Swap(0); d > 0 {
+			batch = fmt.Appendf(batch, "{\"level\":\"warning\",\"msg\":\"log: lines were dropped\",\"lines\":%d}\n", d)
+		}
+		// An error means that nobody reads the log, and there is no other place
+		// to report it.
+		_, _ = w.out.Write(batch)
+		w.pending.Add(-n)
+	}
+}
+
+// Flush waits until the queued lines are written.
+func (w *LogWriter) Flush() {
+	done := make(chan struct{})
+	go func() {
+		w.pending.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(flushWithin):
+	}
+}
--- /dev/null
+++ b/entry/relayer/peer.go
@@ -0,0 +1,125 @@
+package relayer
+
+import (
+	"context"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/godwitrelay/godwitrelay/core/messenger"
+	"github.com/godwitrelay/godwitrelay/entry/elector"
+	"github.com/godwitrelay/godwitrelay/entry/placer"
+	"github.com/godwitrelay/godwitrelay/entry/router"
+)
+
+const (
+	// pingTimeout bounds a call for a sign of life; an owner is taken as lost
+	// after 450 ms.
+	pingTimeout = 250 * time.Millisecond
+	// fetchTimeout bounds the reading of a configuration or list from a peer.
+	fetchTimeout = 500 * time.Millisecond
+	// maxPeerBytes bounds the body of a call by another entry.
+	maxPeerBytes = 4 << 20
+)
+
+// beat is a call between entries and its answer.
+type beat struct {
+	View           elector.View `json:"view"`
+	ConfigVersion  int64        `json:"configVersion"`
+	WorkersVersion uint64       `json:"workersVersion"`
+}
+
+func (r *Relayer) beat() beat {
+	b := beat{View: *r.view.Load(), WorkersVersion: r.fleet.Load().Version}
+	if cfg := r.configuration.Load(); cfg != nil {
+		b.ConfigVersion = cfg.Version
+	}
+	return b
+}
+
+func (r *Relayer) ping(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+	defer cancel()
+	var reply beat
+	status, err := r.Peers.Call(ctx, http.MethodPost, "http://"+address+"/peer/v1/beat", r.beat(), &reply)
+	if err == nil && status != http.StatusOK {
+		err = errors.Newf("status %d", status)
+	}
+	if err != nil {
+		r.post(elector.Unanswered{Address: address, Refused: errors.Is(err, messenger.ErrNotSent) && errors.Is(err, syscall.ECONNREFUSED)})
+		return
+	}
+	r.post(elector.Answered{View: reply.View})
+	r.catchUp(address, reply)
+}
+
+// catchUp fetches what another entry knows better.
+func (r *Relayer) catchUp(address string, b beat) {
+	mine := r.beat()
+	if b.ConfigVersion > mine.ConfigVersion {
+		var cfg router.Configuration
+		if r.fetch(address, "/peer/v1/configuration", &cfg) {
+			r.apply(cfg, address)
+		}
+	}
+	if b.View.Owner == address && r.Self.Address != address && b.WorkersVersion != mine.WorkersVersion && b.WorkersVersion > 0 {
+		var f fleet
+		if r.fetch(address, "/peer/v1/workers", &f) && len(f.Workers) > 0 && r.ownership.Load().address != r.Self.Address {
+			r.fleet.Store(&f)
+			r.post(placer.Listed{Workers: f.Workers})
+		}
+	}
+}
+
+func (r *Relayer) fetch(address, path string, out any) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	status, err := r.Peers.Call(ctx, http.MethodGet, "http://"+address+path, nil, out)
+	if err != nil || status != http.StatusOK {
+		r.Log.WithField("entry", address).WithField("path", path).WithField("status", status).WithError(err).Warn("relayer: reading from an entry failed")
+		return false
+	}
+	return true
+}
+
+// PeerHandler serves the calls of other entries.
+func (r *Relayer) PeerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /peer/v1/beat", r.serveBeat)
+	mux.HandleFunc("POST /peer/v1/jobs", r.serveJob)
+	mux.HandleFunc("DELETE /peer/v1/jobs/{id}", func(w http.ResponseWriter, req *http.Request) {
+		messenger.Reply(w, http.StatusOK, r.cancelHere(req.PathValue("id")))
+	})
+	mux.HandleFunc("GET /peer/v1/configuration", func(w http.ResponseWriter, _ *http.Request) {
+		messenger.Reply(w, http.StatusOK, r.configuration.Load())
+	})
+	mux.HandleFunc("GET /peer/v1/workers", func(w http.ResponseWriter, _ *http.Request) {
+		messenger.Reply(w, http.StatusOK, r.fleet.Load())
+	})
+	return mux
+}
+
+func (r *Relayer) serveBeat(w http.ResponseWriter, req *http.Request) {
+	var b beat
+	if err := messenger.Decode(req.Body, maxPeerBytes, &b); err != nil {
+		messenger.Reply(w, err.Status(), err)
+		return
+	}
+	r.post(elector.Called{View: b.View})
+	messenger.Reply(w, http.StatusOK, r.beat())
+	go r.catchUp(b.View.From.Address, b)
+}
+
+func (r *Relayer) serveJob(w http.ResponseWriter, req *http.Request) {
+	var s submission
+	if err := messenger.Decode(req.Body, maxPeerBytes, &s); err != nil {
+		messenger.Reply(w, err.Status(), err)
+		return
+	}
+	r.inFlight.Add(1)
+	defer r.inFlight.Add(-1)
+	result := r.ask(req.Context(), placer.Submit{Entry: s.Entry, Job: s.Job, Placements: s.Placements})
+	messenger.Reply(w, http.StatusOK, result)
+}
--- /dev/null
+++ b/entry/relayer/relayer.go
@@ -0,0 +1,231 @@
+// Package relayer runs an entry on a platform that provides workers and a
+// store: it drives the reducers of ownership and placement, carries out their
+// effects, and passes jobs to the entry that owns the workers.
+package relayer
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	"github.com/godwitrelay/godwitrelay/core/messenger"
+	"github.com/godwitrelay/godwitrelay/entry/elector"
+	"github.com/godwitrelay/godwitrelay/entry/exporter"
+	"github.com/godwitrelay/godwitrelay/entry/placer"
+	"github.com/godwitrelay/godwitrelay/entry/router"
+)
+
+const (
+	queueLength = 4096
+	// tickEvery is the precision of waits and time-outs.
+	tickEvery = 20 * time.Millisecond
+	// pauseFrom is the difference between the clock that counts suspended time
+	// and the one that doesn't from which on the process counts as paused.
+	pauseFrom = 150 * time.Millisecond
+)
+
+// Workers carries out orders to workers. Each call returns within a bounded
+// time.
+type Workers interface {
+	Hold(placer.Hold) placer.Held
+	Start(placer.Start) placer.Started
+	Stop(placer.Stop) placer.Stopped
+}
+
+// Store reads what operators and workers have published, and lets entries find
+// each other.
+type Store interface {
+	// Configuration returns the newest configuration.
+	Configuration(ctx context.Context) (router.Configuration, error)
+	// Workers returns the list of workers.
+	Workers(ctx context.Context) ([]placer.Worker, error)
+	// Announce publishes the address of this entry.
+	Announce(ctx context.Context, m elector.Member) error
+	// Members returns the addresses that entries have published.
+	Members(ctx context.Context) ([]string, error)
+}
+
+// Relayer is one entry. Set the exported fields before [Relayer.Run].
+type Relayer struct {
+	Self    elector.Member
+	Seeds   []string
+	Workers Workers
+	Store   Store
+	Peers   messenger.Client
+	Metrics *exporter.Exporter
+	Log     *logrus.Logger
+
+	placer  *placer.State
+	elector *elector.State
+	events  chan any
+	done    chan struct{}
+	waiters sync.Map
+	last    atomic.Uint64
+
+	configuration atomic.Pointer[router.Configuration]
+	fleet         atomic.Pointer[fleet]
+	view          atomic.Pointer[elector.View]
+	ownership     atomic.Pointer[ownership]
+	draining      atomic.Bool
+	inFlight      atomic.Int64
+	storeDown     map[string]bool
+	storeMu       sync.Mutex
+	bootOffset    time.Duration
+}
+
+// fleet is a version of the list of workers. Versions of one entry rise; those
+// of different entries can't be compared.
+type fleet struct {
+	Version uint64          `json:"version"`
+	Workers []placer.Worker `json:"workers"`
+}
+
+// ownership is the belief about who owns the workers. Changed is closed when
+// it is replaced.
+type ownership struct {
+	address string
+	changed chan struct{}
+}
+
+// Init makes the relayer usable; call it once.
+func (r *Relayer) Init(now time.Time) {
+	r.placer = placer.New(r.Self.Incarnation)
+	r.elector = elector.New(now, r.Self)
+	r.events, r.done = make(chan any, queueLength), make(chan struct{})
+	r.ownership.Store(&ownership{changed: make(chan struct{})})
+	r.fleet.Store(&fleet{})
+	r.storeDown = map[string]bool{}
+	v := r.elector.View(now)
+	r.view.Store(&v)
+	r.bootOffset = bootOffset()
+}
+
+// Run handles events until ctx ends.
+func (r *Relayer) Run(ctx context.Context) {
+	defer close(r.done)
+	go r.followStore(ctx)
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	r.handle(time.Now(), elector.Known{Addresses: r.Seeds})
+	for {
+		var msg any
+		select {
+		case msg = <-r.events:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		now := time.Now()
+		r.checkPause(now)
+		if msg == nil {
+			r.handle(now, elector.Tick{WallMs: now.UnixMilli()})
+			r.handle(now, placer.Tick{})
+			continue
+		}
+		r.handle(now, msg)
+	}
+}
+
+// checkPause notices that the process was suspended, which the steady clock
+// does not count.
+func (r *Relayer) checkPause(now time.Time) {
+	offset := bootOffset()
+	gap := offset - r.bootOffset
+	if gap < pauseFrom {
+		return
+	}
+	r.bootOffset = offset
+	r.Log.WithField("gapMs", gap.Milliseconds()).Warn("relayer: the process stood still")
+	r.handle(now, placer.Resumed{Gap: gap})
+	r.handle(now, elector.Resumed{})
+}
+
+// bootOffset returns the time that the machine has been suspended, plus a
+// constant.
+func bootOffset() time.Duration {
+	var boot, steady unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil {
+		return 0
+	}
+	return time.Duration(boot.Nano() - steady.Nano())
+}
+
+// post hands an event to the loop.
+func (r *Relayer) post(msg any) {
+	select {
+	case r.events <- msg:
+	case <-r.done:
+	}
+}
+
+func (r *Relayer) handle(now time.Time, msg any) {
+	switch msg := msg.(type) {
+	case placer.Msg:
+		for _, cmd := range r.placer.Update(now, msg) {
+			r.performPlacer(now, cmd)
+		}
+	case elector.Msg:
+		cmds := r.elector.Update(now, msg)
+		v := r.elector.View(now)
+		r.view.Store(&v)
+		for _, cmd := range cmds {
+			r.performElector(now, cmd)
+		}
+	case cancelRequest:
+		r.handle(now, r.cancelMsg(msg))
+	}
+}
+
+func (r *Relayer) performPlacer(now time.Time, cmd placer.Cmd) {
+	switch cmd := cmd.(type) {
+	case placer.Hold:
+		go func() { r.post(r.Workers.Hold(cmd)) }()
+	case placer.Start:
+		go func() { r.post(r.Workers.Start(cmd)) }()
+	case placer.Stop:
+		go func() { r.post(r.Workers.Stop(cmd)) }()
+	case placer.Answer:
+		if ch, ok := r.waiters.LoadAndDelete(cmd.Waiter); ok {
+			ch.(chan placer.Result) <- cmd.Result
+		}
+	case placer.Deposed:
+		r.handle(now, elector.Deposed{})
+	case placer.Count:
+		r.Metrics.Count(cmd.Group, cmd.Reason)
+	case placer.Log:
+		r.Log.WithFields(cmd.Fields).Info("placer: " + cmd.Text)
+	}
+}
+
+func (r *Relayer) performElector(now time.Time, cmd elector.Cmd) {
+	switch cmd := cmd.(type) {
+	case elector.Ping:
+		go r.ping(cmd.Address)
+	case elector.Own:
+		r.handle(now, placer.Claim{WallMs: cmd.WallMs, Contested: cmd.Contested})
+	case elector.Disown:
+		r.handle(now, placer.Release{Moved: cmd.Moved, Reason: cmd.Reason})
+	case elector.Lost:
+		r.Log.WithField("entry", cmd.Address).Warn("elector: entry is silent")
+		r.handle(now, placer.EntryLost{Entry: cmd.Address})
+	case elector.OwnerChanged:
+		r.Log.WithFields(logrus.Fields{"owner": cmd.Address, "before": cmd.Before, "reason": cmd.Reason}).Info("elector: owner changed")
+		old := r.ownership.Swap(&ownership{address: cmd.Address, changed: make(chan struct{})})
+		close(old.changed)
+	}
+}
+
+// Configuration returns the configuration in force, or nil before the first.
+func (r *Relayer) Configuration() *router.Configuration { return r.configuration.Load() }
+
+// Ready tells whether callers may be sent to this entry.
+func (r *Relayer) Ready() bool {
+	return !r.draining.Load() && r.configuration.Load() != nil && r.ownership.Load().address != ""
+}
+
+// Draining tells whether the planned stop has begun.
+func (r *Relayer) Draining() bool { return r.draining.Load() }
