--- a/entry/relayer/relayer.go
+++ b/entry/relayer/relayer.go
@@ -63,6 +63,8 @@
 	elector *elector.State
 	events  chan any
 	done    chan struct{}
+	// ending is closed when jobs in progress have to be answered at once.
+	ending  chan struct{}
 	waiters sync.Map
 	last    atomic.Uint64
 
@@ -95,7 +97,7 @@
 func (r *Relayer) Init(now time.Time) {
 	r.placer = placer.New(r.Self.Incarnation)
 	r.elector = elector.New(now, r.Self)
-	r.events, r.done = make(chan any, queueLength), make(chan struct{})
+	r.events, r.done, r.ending = make(chan any, queueLength), make(chan struct{}), make(chan struct{})
 	r.ownership.Store(&ownership{changed: make(chan struct{})})
 	r.fleet.Store(&fleet{})
 	r.storeDown = map[string]bool{}
--- a/entry/relayer/submit.go
+++ b/entry/relayer/submit.go
@@ -30,6 +30,15 @@
 func (r *Relayer) Submit(ctx context.Context, job placer.Job) placer.Result {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-r.ending:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	began := time.Now()
 	deadline := began.Add(time.Duration(job.RemainingMs) * time.Millisecond)
 	giveUp := began.Add(ownerWait)
@@ -86,9 +95,12 @@
 			return placer.Result{Err: messenger.NewError(messenger.OwnerUnreachable, err.Error())}, true
 		}
 	}
-	if result.Err != nil && result.Err.Kind == messenger.NoTarget && len(placements) == 0 {
+	if result.Err != nil && result.Err.Kind == messenger.NoTarget {
 		return result, false
 	}
+	if result.Err != nil && result.Err.Ran == messenger.DidNotRun && len(placements) > 0 {
+		result.Err = messenger.NewError(messenger.TargetLost, result.Err.Message)
+	}
 	return result, true
 }
 
