--- a/entry/elector/elector.go
+++ b/entry/elector/elector.go
@@ -22,8 +22,9 @@
 	// lostFor is the time without a call after which the jobs of an entry are
 	// stopped. Its caller may send them again 1.3 s after it lost its answer.
 	lostFor = 700 * time.Millisecond
-	// startFor is how long a new process looks for an owner before it becomes
-	// one: entries start within 0.3 s of each other.
+	// startFor is how long a new process that does not hear most of the others
+	// looks for an owner before it becomes one: entries start within 0.3 s of
+	// each other.
 	startFor = 1200 * time.Millisecond
 	// searchFor is how long an entry that lost its owner looks for another.
 	searchFor = 120 * time.Millisecond
@@ -465,8 +466,9 @@
 	for _, a := range s.addresses() {
 		s.ping(now, s.members[a], pingEvery)
 	}
+	heard, all := s.count(now)
 	wait := searchFor
-	if now.Sub(s.startedAt) < startFor {
+	if now.Sub(s.startedAt) < startFor && (2*heard <= all || all == 1) {
 		wait = startFor
 	}
 	if s.stopping || now.Sub(s.searchSince) < wait || (!s.deposedAt.IsZero() && now.Sub(s.deposedAt) < deposedFor) {
@@ -475,7 +477,6 @@
 	if s.lowest(now, true) != s.self.Address {
 		return
 	}
-	heard, all := s.count(now)
 	s.own(now, 2*heard <= all, "no owner was found")
 }
 
