--- a/entry/placer/owner.go
+++ b/entry/placer/owner.go
@@ -122,10 +122,7 @@
 		s.log("worker answers again", map[string]any{"worker": w.ID, "unanswered": w.unanswered})
 	}
 	if msg.BornMs > 0 && msg.BornMs != w.BornMs {
-		if w.BornMs > 0 {
-			s.reborn(now, w, msg.BornMs)
-		}
-		w.BornMs = msg.BornMs
+		s.reborn(w, msg.BornMs)
 	}
 	w.phase, w.unanswered, w.answeredAt = owned, 0, now
 	w.clockMs, w.clockAt = msg.ClockMs, now
@@ -140,7 +137,8 @@
 	s.log("another owner took a worker", map[string]any{"worker": w.ID, "fence": w.fence, "phase": int(w.phase)})
 	s.do(Count{"worker", "fenced"})
 	s.loseRuns(now, w, "another entry took the worker over")
-	w.phase, w.retryAt = released, now.Add(retryHold)
+	// A hold under the refused fence may still be open; its answer is ignored.
+	w.phase, w.holding, w.retryAt = released, false, now.Add(retryHold)
 	w.forget()
 	s.do(Deposed{Worker: w.ID})
 }
@@ -156,16 +154,27 @@
 		s.loseRuns(now, w, "the worker does not answer")
 	}
 	if result == HoldOtherLife && w.phase == owned {
-		s.reborn(now, w, 0)
+		s.replaced(now, w)
 	}
 	if w.unanswered > silentHolds && now.Sub(w.answeredAt) > stopFor {
 		w.forget()
 	}
 }
 
-// reborn handles a worker that started anew: nothing of before runs on it.
-func (s *State) reborn(now time.Time, w *worker, bornMs int64) {
-	s.log("worker started anew", map[string]any{"worker": w.ID, "runs": len(w.runs), "bornMs": bornMs})
+// reborn handles a worker that started anew under its id: its ends are counted
+// anew. Its list of runs tells which known ones belong to the new life; those
+// of before are gone.
+func (s *State) reborn(w *worker, bornMs int64) {
+	if w.BornMs > 0 {
+		s.log("worker started anew", map[string]any{"worker": w.ID, "runs": len(w.runs), "bornMs": bornMs})
+	}
+	w.BornMs, w.lastEnd, w.health = bornMs, 0, health{}
+	w.ends = map[RunKey]endRecord{}
+}
+
+// replaced handles another worker at the address: nothing of before runs.
+func (s *State) replaced(now time.Time, w *worker) {
+	s.log("another worker answers at the address", map[string]any{"worker": w.ID, "address": w.Address, "runs": len(w.runs)})
 	runs := sortedRuns(w)
 	w.forget()
 	w.clockAt, w.health = time.Time{}, health{}
--- a/entry/placer/state.go
+++ b/entry/placer/state.go
@@ -110,12 +110,9 @@
 		if v.Draining && !w.Draining {
 			s.log("worker is draining", map[string]any{"worker": v.ID})
 		}
-		born := max(w.BornMs, v.BornMs)
-		if v.BornMs > w.BornMs && w.BornMs > 0 {
-			s.reborn(now, w, v.BornMs)
-		}
+		// The worker itself tells which life it is in; its record may be old.
+		v.BornMs = w.BornMs
 		w.Worker, w.gone = v, false
-		w.BornMs = born
 	}
 	for _, w := range s.order {
 		if !seen[w.ID] && !w.gone {
--- a/entry/placer/worker.go
+++ b/entry/placer/worker.go
@@ -34,8 +34,8 @@
 	Labels        []string `json:"labels,omitempty"`
 	Room          Room     `json:"room"`
 	Draining      bool     `json:"draining,omitempty"`
-	// BornMs is the start of the worker's present life in Unix milliseconds. A
-	// worker that starts again under its id has another one.
+	// BornMs is the start of the worker's present life in Unix milliseconds, 0
+	// if unknown. A worker that starts again under its id has another one.
 	BornMs int64 `json:"bornMs"`
 }
 
