--- a/entry/placer/job.go
+++ b/entry/placer/job.go
@@ -52,7 +52,9 @@
 	deadline time.Time
 	tasks    []task
 	left     int
-	started  bool
+	// latest is when the last task has to start for the objective.
+	latest  time.Time
+	started bool
 	// offered tells that some start of the job was sent.
 	offered bool
 }
--- a/entry/placer/message.go
+++ b/entry/placer/message.go
@@ -59,6 +59,9 @@
 	BornMs  int64
 	Running []RunningRun
 	Ended   []EndedRun
+	// Sent and Look are those of the hold.
+	Sent time.Time
+	Look bool
 }
 
 // Started is the answer to [Start].
@@ -110,6 +113,10 @@
 	LastEnd int64
 	UntilMs int64
 	Wait    time.Duration
+	Sent    time.Time
+	// Look marks a hold beside the one that waits, to learn at once whether a
+	// run exists.
+	Look bool
 }
 
 // Start starts a run.
@@ -120,6 +127,9 @@
 	Key     RunKey
 	Spec    string
 	UntilMs int64
+	// Lag is how far behind its clock this process runs; answers seem late by
+	// as much.
+	Lag time.Duration
 }
 
 // Stop stops a run, or keeps it from starting later.
--- a/entry/placer/owner.go
+++ b/entry/placer/owner.go
@@ -96,16 +96,34 @@
 	case s.contested:
 		wait = contestedWait
 	}
-	w.holding, w.holdSent = true, now
+	w.holding = true
 	s.do(Hold{
 		Worker: w.ID, Address: w.Address, Fence: w.fence, LastEnd: w.lastEnd,
-		UntilMs: w.until(now, leaseFor), Wait: wait,
+		UntilMs: w.until(now, leaseFor), Wait: wait, Sent: now,
+	})
+}
+
+// look asks for the lists of a worker beside the hold that waits.
+func (s *State) look(now time.Time, w *worker) {
+	s.do(Hold{
+		Worker: w.ID, Address: w.Address, Fence: w.fence, LastEnd: w.lastEnd,
+		UntilMs: w.until(now, leaseFor), Sent: now, Look: true,
 	})
 }
 
 func (s *State) held(now time.Time, msg Held) {
 	w := s.workers[msg.Worker]
-	if w == nil || w.phase == released || msg.Fence != w.fence || !w.holding {
+	if w == nil || w.phase == released || msg.Fence != w.fence {
+		return
+	}
+	if msg.Look {
+		// Only the hold that waits tells whether a worker is lost.
+		if msg.Result == HoldAnswered && w.phase == owned && msg.BornMs == w.BornMs {
+			s.reconcile(now, w, msg)
+		}
+		return
+	}
+	if !w.holding {
 		return
 	}
 	w.holding = false
--- a/entry/placer/place.go
+++ b/entry/placer/place.go
@@ -2,95 +2,135 @@
 
 import "time"
 
-// place starts the waiting jobs for which there is room: all missing tasks of
-// a job at once, or none.
+// place starts waiting tasks wherever there is room, job by job in the order
+// of the queue. The load pattern it answers: wide and narrow jobs that press on
+// the workers together. A wide job takes free room as it appears, ahead of the
+// jobs behind it; if all its tasks had to fit at once, narrow jobs would take
+// each free place before it.
 func (s *State) place(now time.Time) {
-	if !s.owning || len(s.waiting) == 0 {
+	if !s.owning || !s.changed || len(s.waiting) == 0 {
 		return
 	}
+	s.changed = false
 	s.expireWaiting(now)
-	s.sortWaiting()
-	kept := s.waiting[:0]
+	var most int64
+	for _, w := range s.order {
+		if w.usable(now) {
+			most = max(most, w.free().CPU)
+		}
+	}
+	var kept, begun []*job
 	for _, j := range s.waiting {
-		if !s.placeJob(now, j) {
+		was := j.started
+		switch {
+		case j.Room.CPU <= most && s.placeJob(now, j):
+		case j.started && !was:
+			begun = append(begun, j)
+		default:
 			kept = append(kept, j)
 		}
 	}
 	s.waiting = kept
+	for _, j := range begun {
+		s.enqueue(j)
+	}
+	s.changed = false
 }
 
-// placeJob starts all missing tasks of j and reports whether it did.
+// placeJob starts the missing tasks of j for which there is room and reports
+// whether none is left.
 func (s *State) placeJob(now time.Time, j *job) bool {
-	missing := j.missing()
-	if len(missing) == 0 {
-		return true
-	}
-	chosen := s.choose(now, j, len(missing))
-	if chosen == nil {
-		return false
-	}
-	for n, i := range missing {
-		s.start(now, chosen[n], j, i)
+	chosen := s.choose(now, j, j.missing())
+	for i := range j.tasks {
+		if len(chosen) == 0 {
+			break
+		}
+		if j.isMissing(i) {
+			s.start(now, chosen[0], j, i)
+			chosen = chosen[1:]
+		}
 	}
-	return true
+	return j.missing() == 0
 }
 
-// missing returns the tasks that have to be started.
-func (j *job) missing() []int {
-	var list []int
+// isMissing tells whether a task has to be started.
+func (j *job) isMissing(i int) bool {
+	t := &j.tasks[i]
+	return !t.done && t.run == nil && t.awaits == nil
+}
+
+// missing returns how many tasks have to be started.
+func (j *job) missing() int {
+	n := 0
 	for i := range j.tasks {
-		t := &j.tasks[i]
-		if !t.done && t.run == nil && t.awaits == nil {
-			list = append(list, i)
+		if j.isMissing(i) {
+			n++
 		}
 	}
-	return list
+	return n
 }
 
-// choose returns a worker for each of n tasks of j, or nil if not all fit. It
-// takes the fullest workers that fit, so that room for wide jobs stays
-// together.
+// choose returns workers for up to n tasks of j. Sound workers come before slow
+// ones; of these the fullest that fits comes first, so that room stays together
+// for large tasks.
 func (s *State) choose(now time.Time, j *job, n int) []*worker {
 	type option struct {
 		w    *worker
+		slow bool
 		free Room
 		left int
 	}
 	var options []option
-	total := 0
 	for _, w := range s.order {
 		if !suits(w, j) || !w.usable(now) {
 			continue
 		}
-		left := copies(w.free(), j)
-		if limit := w.health.limit(now); limit >= 0 {
-			left = min(left, limit-len(w.runs))
-		}
-		if left <= 0 {
-			continue
+		if left := w.places(now, j); left > 0 {
+			options = append(options, option{w, w.speed.slow(now), w.free(), left})
 		}
-		options = append(options, option{w, w.free(), left})
-		total += left
-	}
-	if total < n {
-		return nil
 	}
-	chosen := make([]*worker, 0, n)
+	var chosen []*worker
 	for len(chosen) < n {
-		best := -1
+		var best *option
 		for i := range options {
-			if options[i].left > 0 && (best < 0 || options[i].free.CPU < options[best].free.CPU) {
-				best = i
+			o := &options[i]
+			if o.left > 0 && (best == nil || (best.slow && !o.slow) || (best.slow == o.slow && o.free.CPU < best.free.CPU)) {
+				best = o
 			}
 		}
-		o := &options[best]
-		o.left--
-		o.free = o.free.Sub(j.Room)
-		chosen = append(chosen, o.w)
+		if best == nil {
+			break
+		}
+		best.left--
+		best.free = best.free.Sub(j.Room)
+		chosen = append(chosen, best.w)
 	}
 	return chosen
 }
 
+// places returns how many tasks of j may start on w now.
+func (w *worker) places(now time.Time, j *job) int {
+	n := copies(w.free(), j)
+	if limit := w.health.limit(now); limit >= 0 {
+		n = min(n, limit-len(w.runs))
+	}
+	if j.PerWorker > 0 {
+		n = min(n, j.PerWorker-j.runsOn(w))
+	}
+	return max(n, 0)
+}
+
+// runsOn counts the runs of j on w.
+func (j *job) runsOn(w *worker) int {
+	n := 0
+	for i := range j.tasks {
+		if r := j.tasks[i].run; r != nil && w.runs[r.key] == r {
+			n++
+		}
+	}
+	return n
+}
+
 // suits tells whether the worker may run tasks of j at all.
 func suits(w *worker, j *job) bool {
 	if w.Service != j.Service {
--- a/entry/placer/queue.go
+++ b/entry/placer/queue.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -8,25 +9,61 @@
 )
 
 const (
-	// waitShare is the share of a job's latency objective that it may wait for
-	// a place. A job that starts later is hardly ever in time, and its caller
-	// learns sooner from a refusal.
-	waitShare = 0.25
+	// overhead is the part of a job's latency that is neither waiting nor work:
+	// the ways between caller, entry, owner and worker.
+	overhead = 15 * time.Millisecond
 	// minWait is the least time that a job may wait, in which several short
 	// tasks end.
-	minWait = 30 * time.Millisecond
+	minWait = 20 * time.Millisecond
 )
 
-// objective is the latency that the configuration asks for.
-func (s *State) objective(j *job) time.Duration {
-	return time.Duration(j.TargetLatencyMs)*time.Millisecond + time.Duration(j.Stretch*float64(s.times.expect(j)))
+// slack is how long the last start of a job may wait if the job is to meet its
+// latency objective.
+func (s *State) slack(j *job) time.Duration {
+	objective := time.Duration(j.TargetLatencyMs)*time.Millisecond + time.Duration((j.Stretch-1)*float64(s.times.expect(j)))
+	return max(minWait, objective-overhead)
 }
 
-// patience is how long a job may wait for its first start.
-func (s *State) patience(j *job) time.Duration {
-	return max(minWait, time.Duration(waitShare*float64(s.objective(j))))
+// expectedWait is the time until the last task of a new job can start: the
+// work ahead of it in the queue and its own, over the rate at which running
+// tasks free their room. The load pattern it answers: more work than the
+// workers can do, for seconds. A job that would wait for longer than its slack
+// is refused on arrival, so that its caller need not wait for the refusal.
+func (s *State) expectedWait(now time.Time, j *job) time.Duration {
+	need := int64(j.Tasks) * j.Room.CPU
+	for _, o := range s.waiting {
+		if before(o, j) {
+			need += int64(o.missing()) * o.Room.CPU
+		}
+	}
+	var rate float64
+	for _, w := range s.order {
+		if !suits(w, j) || !w.usable(now) {
+			continue
+		}
+		need -= int64(w.places(now, j)) * j.Room.CPU
+		for _, r := range w.runs {
+			if r.job != nil {
+				rate += float64(r.room.CPU) / max(r.expected.Seconds(), minRunTime.Seconds())
+			}
+		}
+	}
+	switch {
+	case need <= 0:
+		return 0
+	case rate == 0:
+		return maxExpectedWait
+	}
+	return min(time.Duration(float64(need)/rate*float64(time.Second)), maxExpectedWait)
 }
 
+const (
+	// minRunTime keeps the estimate of the rate finite.
+	minRunTime = 10 * time.Millisecond
+	// maxExpectedWait stands for a wait without a known end.
+	maxExpectedWait = time.Minute
+)
+
 // refuseAtOnce returns the refusal of a job that can't be served.
 func (s *State) refuseAtOnce(now time.Time, j *job) *messenger.Error {
 	workers, capacity := 0, 0
@@ -43,18 +80,21 @@
 	case capacity < j.Tasks:
 		return messenger.NewError(messenger.NeverRunnable, "the workers together have no room for the job").After(retryAfterMs)
 	}
+	if wait := s.expectedWait(now, j); wait > s.slack(j) {
+		return messenger.NewError(messenger.Overloaded, "the queue is too long for the latency objective").After(max(retryAfterMs, wait.Milliseconds()))
+	}
 	return nil
 }
 
-// retryAfterMs is the advice with refusals: the time after which a burst has
-// usually passed.
+// retryAfterMs is the least advice with refusals: the time after which a burst
+// has usually passed.
 const retryAfterMs = 1000
 
 // expireWaiting refuses jobs that have waited for as long as makes sense.
 func (s *State) expireWaiting(now time.Time) {
 	var over []*job
 	for _, j := range s.waiting {
-		if !j.started && now.Sub(j.arrived) > s.patience(j) {
+		if !j.started && now.After(j.latest) {
 			over = append(over, j)
 		}
 	}
@@ -63,20 +103,25 @@
 	}
 }
 
-// sortWaiting orders the queue: jobs that have begun, then by priority, then
-// by arrival.
-func (s *State) sortWaiting() {
-	sort.SliceStable(s.waiting, func(a, b int) bool {
-		x, y := s.waiting[a], s.waiting[b]
-		switch {
-		case x.started != y.started:
-			return x.started
-		case x.Priority != y.Priority:
-			return x.Priority < y.Priority
-		case !x.arrived.Equal(y.arrived):
-			return x.arrived.Before(y.arrived)
-		default:
-			return x.ID < y.ID
-		}
-	})
+// enqueue adds a job to the queue in its place.
+func (s *State) enqueue(j *job) {
+	i := sort.Search(len(s.waiting), func(i int) bool { return before(j, s.waiting[i]) })
+	s.waiting = slices.Insert(s.waiting, i, j)
+	s.changed = true
+}
+
+// before orders the queue: jobs that have begun, since their tasks at work are
+// of no use without the rest; then by priority; then by the latest start that
+// meets the objective.
+func before(x, y *job) bool {
+	if x.started != y.started {
+		return x.started
+	}
+	if x.Priority != y.Priority {
+		return x.Priority < y.Priority
+	}
+	if !x.latest.Equal(y.latest) {
+		return x.latest.Before(y.latest)
+	}
+	return x.ID < y.ID
 }
--- a/entry/placer/run.go
+++ b/entry/placer/run.go
@@ -25,13 +25,15 @@
 // run is a start of a task that may occupy room on a worker. A run of no job
 // was found on the worker.
 type run struct {
-	key     RunKey
-	job     *job
-	task    int
-	state   runState
-	room    Room
-	since   time.Time
-	percent int
+	key   RunKey
+	job   *job
+	task  int
+	state runState
+	room  Room
+	// expected is the expected run time.
+	expected time.Duration
+	since    time.Time
+	percent  int
 	// progressAt is when percent last changed.
 	progressAt time.Time
 	stopSent   time.Time
--- a/entry/placer/runs.go
+++ b/entry/placer/runs.go
@@ -11,7 +11,7 @@
 	t := &j.tasks[i]
 	t.number++
 	t.worker = w.ID
-	r := &run{key: RunKey{j.taskName(i), t.number}, job: j, task: i, room: j.Room, since: now, progressAt: now}
+	r := &run{key: RunKey{j.taskName(i), t.number}, job: j, task: i, room: j.Room, expected: s.times.expect(j), since: now, progressAt: now}
 	t.run = r
 	w.occupy(r)
 	j.started, j.offered = true, true
@@ -86,10 +86,10 @@
 		s.listedRun(now, w, row)
 	}
 	for _, r := range sortedRuns(w) {
-		if listed[r.key] || r.state == starting || !r.since.Before(w.holdSent) {
+		if listed[r.key] || r.state == starting || !r.since.Before(msg.Sent) {
 			continue
 		}
-		if (r.state == stopping || r.state == unsure) && !r.confirmed(w.holdSent) {
+		if (r.state == stopping || r.state == unsure) && !r.confirmed(msg.Sent) {
 			continue
 		}
 		w.drop(r)
@@ -99,7 +99,7 @@
 }
 
 // confirmed tells whether the stop of r was confirmed before t.
-func (r *run) confirmed(t time.Time) bool { return r.stopTries < 0 && r.stopSent.Before(t) }
+func (r *run) confirmed(t time.Time) bool { return r.stopTries < 0 && !r.stopSent.After(t) }
 
 func (s *State) listedRun(now time.Time, w *worker, row RunningRun) {
 	r := w.runs[row.Key]
@@ -108,14 +108,19 @@
 		w.occupy(r)
 		return
 	}
-	if row.Percent != r.percent {
-		r.percent, r.progressAt = row.Percent, now
+	if row.Percent == r.percent {
+		return
+	}
+	r.percent, r.progressAt = row.Percent, now
+	if r.job != nil {
+		w.speed.progress(now, now.Sub(r.since), row.Percent, s.times.expect(r.job))
 	}
 }
 
 // ended handles the end of a run that no longer occupies room.
 func (s *State) ended(now time.Time, w *worker, r *run, how EndKind) {
 	j := r.job
+	s.changed = true
 	if j == nil || j.tasks[r.task].run != r {
 		return
 	}
@@ -124,6 +129,7 @@
 	switch how {
 	case EndDone:
 		w.health.succeeded()
+		w.speed.observe(now, now.Sub(r.since), s.times.expect(j))
 		s.times.done(j, now.Sub(r.since))
 		t.done = true
 		j.left--
@@ -183,6 +189,9 @@
 		return
 	}
 	r.stopTries, r.stopSent = -1, now
+	if r.job != nil {
+		s.look(now, w)
+	}
 	if r.state == unsure {
 		// The number is rejected from now on; what runs is stopped.
 		r.state = stopping
--- a/entry/placer/simulation_test.go
+++ b/entry/placer/simulation_test.go
@@ -15,7 +15,7 @@
 const (
 	simulatedService = "orders"
 	simulatedTick    = 20 * time.Millisecond
-	orderTimeout     = 150 * time.Millisecond
+	orderTimeout     = 50 * time.Millisecond
 	holdSlack        = 200 * time.Millisecond
 )
 
@@ -188,7 +188,7 @@
 // hold carries a hold to its worker, which answers at an end or after the wait.
 func (s *simulation) hold(o *owner, cmd placer.Hold) {
 	m := s.machine(cmd.Worker)
-	held := placer.Held{Worker: cmd.Worker, Fence: cmd.Fence, Result: placer.HoldNoAnswer}
+	held := placer.Held{Worker: cmd.Worker, Fence: cmd.Fence, Result: placer.HoldNoAnswer, Sent: cmd.Sent, Look: cmd.Look}
 	if m.cutFrom[o] {
 		s.after(cmd.Wait+holdSlack, func(time.Time) { s.tell(o, held) })
 		return
--- a/entry/placer/state.go
+++ b/entry/placer/state.go
@@ -20,7 +20,9 @@
 	contested bool
 	fence     int64
 	ownedAt   time.Time
-	cmds      []Cmd
+	// changed tells that jobs or room were added since the last placement.
+	changed bool
+	cmds    []Cmd
 }
 
 // New returns a state that owns nothing. The low bits of salt keep its fences
@@ -59,6 +61,7 @@
 		s.resumed(now, msg)
 	case Tick:
 		s.tick(now)
+		s.changed = true
 	}
 	s.place(now)
 	return s.cmds
--- a/entry/placer/submit.go
+++ b/entry/placer/submit.go
@@ -21,6 +21,7 @@
 		return
 	}
 	j := newJob(now, msg)
+	j.latest = now.Add(s.slack(j))
 	s.jobs[j.ID] = j
 	if len(msg.Placements) > 0 {
 		s.takeOver(now, j, msg.Placements)
@@ -30,7 +31,7 @@
 		s.finish(now, j, Result{Err: err})
 		return
 	}
-	s.waiting = append(s.waiting, j)
+	s.enqueue(j)
 }
 
 // takeOver continues a job of an earlier owner.
@@ -73,7 +74,7 @@
 			key := *t.awaits
 			if r := w.runs[key]; r != nil && r.job == nil && r.state == running {
 				w.used = w.used.Sub(r.room).Add(j.Room)
-				r.job, r.task, r.room = j, i, j.Room
+				r.job, r.task, r.room, r.expected = j, i, j.Room, s.times.expect(j)
 				t.run, t.awaits = r, nil
 				continue
 			}
@@ -192,6 +193,6 @@
 		}
 	}
 	if s.jobs[j.ID] == j {
-		s.waiting = append(s.waiting, j)
+		s.enqueue(j)
 	}
 }
--- a/entry/placer/worker.go
+++ b/entry/placer/worker.go
@@ -61,10 +61,10 @@
 	runs   map[RunKey]*run
 	ends   map[RunKey]endRecord
 	health health
+	speed  speed
 
 	lastEnd     int64
 	holding     bool
-	holdSent    time.Time
 	answeredAt  time.Time
 	unanswered  int
 	retryAt     time.Time
--- a/entry/relayer/relayer.go
+++ b/entry/relayer/relayer.go
@@ -23,6 +23,8 @@
 	queueLength = 4096
 	// tickEvery is the precision of waits and time-outs.
 	tickEvery = 20 * time.Millisecond
+	// lagKept is the percentage of the loop's delay that is kept at each tick.
+	lagKept = 80
 	// pauseFrom is the difference between the clock that counts suspended time
 	// and the one that doesn't from which on the process counts as paused.
 	pauseFrom = 150 * time.Millisecond
@@ -77,6 +79,8 @@
 	storeDown     map[string]bool
 	storeMu       sync.Mutex
 	bootOffset    time.Duration
+	// lag is the recent delay of events in the loop.
+	lag time.Duration
 }
 
 // fleet is a version of the list of workers. Versions of one entry rise; those
@@ -117,7 +121,8 @@
 		var msg any
 		select {
 		case msg = <-r.events:
-		case <-ticker.C:
+		case due := <-ticker.C:
+			r.lag = max(time.Since(due), r.lag*lagKept/100)
 		case <-ctx.Done():
 			return
 		}
@@ -187,6 +192,7 @@
 	case placer.Hold:
 		go func() { r.post(r.Workers.Hold(cmd)) }()
 	case placer.Start:
+		cmd.Lag = r.lag
 		go func() { r.post(r.Workers.Start(cmd)) }()
 	case placer.Stop:
 		go func() { r.post(r.Workers.Stop(cmd)) }()
