--- a/entry/elector/elector.go
+++ b/entry/elector/elector.go
@@ -1,6 +1,6 @@
 // Package elector is the reducer that finds the entry which owns the workers.
 // Every entry calls its owner a few times a second; an owner that is silent is
-// replaced by the entry with the lowest address among those that hear each
+// replaced by the strongest entry among those that hear each
 // other. Two owners never harm each other's work, since workers obey the
 // highest fence only; the rules here keep them from taking workers in turns.
 // It performs no I/O and reads no clock.
@@ -51,11 +51,24 @@
 	Address       string `json:"address"`
 	FailureDomain string `json:"failureDomain"`
 	Incarnation   uint64 `json:"incarnation"`
+	// CPU is the share of a processor that the entry has, in thousandths. The
+	// strongest entry becomes the owner.
+	CPU int64 `json:"cpu,omitempty"`
+}
+
+// before tells whether m comes before o as an owner.
+func (m Member) before(o Member) bool {
+	if m.CPU != o.CPU {
+		return m.CPU > o.CPU
+	}
+	return m.Address < o.Address
 }
 
 // View is what an entry says of itself in a call or its answer.
 type View struct {
 	From Member `json:"from"`
+	// Group names the workers that the sender takes part in owning.
+	Group string `json:"group"`
 	// Term is set by an owner; of two owners the one with the lower term, the
 	// older one, stays.
 	Term int64 `json:"term,omitempty"`
@@ -75,6 +88,10 @@
 // Known adds addresses from the settings or the store.
 type Known struct{ Addresses []string }
 
+// Grouped tells which group of workers this entry takes part in owning: all,
+// or those of its failure domain. There is no owner before it is known.
+type Grouped struct{ Group string }
+
 // Called is a call by another entry.
 type Called struct{ View View }
 
@@ -100,6 +117,7 @@
 type Tick struct{ WallMs int64 }
 
 func (Known) isMsg()      {}
+func (Grouped) isMsg()    {}
 func (Called) isMsg()     {}
 func (Answered) isMsg()   {}
 func (Unanswered) isMsg() {}
@@ -148,9 +166,11 @@
 	knownAt    time.Time
 	refusedAt  time.Time
 	waiting    bool
-	stopping   bool
-	lost       bool
-	view       View
+	// foreign entries belong to another group.
+	foreign  bool
+	stopping bool
+	lost     bool
+	view     View
 }
 
 func (m *member) heardAt() time.Time {
@@ -168,6 +188,8 @@
 // State is the reducer. Make one with [New].
 type State struct {
 	self     Member
+	group    string
+	grouped  bool
 	members  map[string]*member
 	owner    string
 	term     int64
@@ -196,7 +218,7 @@
 
 // View returns what this entry says of itself.
 func (s *State) View(now time.Time) View {
-	v := View{From: s.self, Owner: s.owner, Stopping: s.stopping, Successor: s.successor}
+	v := View{From: s.self, Group: s.group, Owner: s.owner, Stopping: s.stopping, Successor: s.successor}
 	if s.leading {
 		v.Term = s.term
 	}
@@ -226,6 +248,8 @@
 	switch msg := msg.(type) {
 	case Known:
 		s.learn(now, msg.Addresses)
+	case Grouped:
+		s.join(now, msg.Group)
 	case Called:
 		m := s.heard(now, msg.View)
 		m.calledAt = now
@@ -260,6 +284,21 @@
 	}
 }
 
+// join changes the group of this entry.
+func (s *State) join(now time.Time, group string) {
+	if s.grouped && s.group == group {
+		return
+	}
+	if s.leading {
+		s.disown(now, false, "the workers are grouped in another way")
+	}
+	s.group, s.grouped = group, true
+	s.follow(now, "", "the workers are grouped in another way")
+	for _, m := range s.members {
+		m.foreign = m.view.From.Address != "" && m.view.Group != group
+	}
+}
+
 func (s *State) heard(now time.Time, v View) *member {
 	s.learn(now, []string{v.From.Address})
 	s.learn(now, v.Members)
@@ -276,13 +315,14 @@
 		return &member{Member: s.self}
 	}
 	m.Member, m.view, m.stopping, m.refusedAt, m.lost = v.From, v, v.Stopping, time.Time{}, false
+	m.foreign = v.Group != s.group
 	return m
 }
 
 // judge draws the conclusions from what another entry says.
 func (s *State) judge(now time.Time, m *member) {
 	v := m.view
-	if m.Address == s.self.Address {
+	if m.Address == s.self.Address || m.foreign {
 		return
 	}
 	owns := v.Owner == m.Address && v.Term != 0
@@ -367,7 +407,7 @@
 func (s *State) count(now time.Time) (heard, all int) {
 	heard, all = 1, 1
 	for _, m := range s.members {
-		if !m.known(now) {
+		if m.foreign || !m.known(now) {
 			continue
 		}
 		all++
@@ -383,7 +423,7 @@
 	if !s.leading {
 		return
 	}
-	next := s.lowest(now, false)
+	next := s.candidate(now, false)
 	if next == "" {
 		return
 	}
@@ -404,23 +444,23 @@
 	s.startedAt, s.searchSince = now, now
 }
 
-// lowest returns the lowest address among the entries that are heard and don't
-// stop, with this one if self is set.
-func (s *State) lowest(now time.Time, self bool) string {
-	best := ""
+// candidate returns the address of the entry that should own the workers,
+// among those that are heard and don't stop, with this one if self is set.
+func (s *State) candidate(now time.Time, self bool) string {
+	var best Member
 	if self {
-		best = s.self.Address
+		best = s.self
 	}
-	for a, m := range s.members {
+	for _, m := range s.members {
 		at := m.heardAt()
-		if m.stopping || at.IsZero() || now.Sub(at) > hearFor {
+		if m.foreign || m.stopping || at.IsZero() || now.Sub(at) > hearFor {
 			continue
 		}
-		if best == "" || a < best {
-			best = a
+		if best.Address == "" || m.before(best) {
+			best = m.Member
 		}
 	}
-	return best
+	return best.Address
 }
 
 func (s *State) tick(now time.Time) {
@@ -445,7 +485,11 @@
 			s.do(Lost{Address: a})
 		}
 		if now.Sub(m.calledAt) > seekEvery {
-			s.ping(now, m, seekEvery)
+			every := seekEvery
+			if m.foreign {
+				every = forgetFor
+			}
+			s.ping(now, m, every)
 		}
 	}
 }
@@ -467,7 +511,14 @@
 // none and no other entry should.
 func (s *State) search(now time.Time) {
 	for _, a := range s.addresses() {
-		s.ping(now, s.members[a], pingEvery)
+		every := pingEvery
+		if s.members[a].foreign {
+			every = seekEvery
+		}
+		s.ping(now, s.members[a], every)
+	}
+	if !s.grouped {
+		return
 	}
 	heard, all := s.count(now)
 	wait := searchFor
@@ -477,7 +528,7 @@
 	if s.stopping || now.Sub(s.searchSince) < wait || (!s.deposedAt.IsZero() && now.Sub(s.deposedAt) < deposedFor) {
 		return
 	}
-	if s.lowest(now, true) != s.self.Address {
+	if s.candidate(now, true) != s.self.Address {
 		return
 	}
 	s.own(now, 2*heard <= all || heard == 1, "no owner was found")
--- a/entry/elector/network_test.go
+++ b/entry/elector/network_test.go
@@ -60,6 +60,7 @@
 		all = append(all, address(k))
 	}
 	n.tell(i, elector.Known{Addresses: all})
+	n.tell(i, elector.Grouped{Group: "all"})
 	n.tick(i, e.state)
 }
 
--- a/entry/placer/state.go
+++ b/entry/placer/state.go
@@ -77,6 +77,21 @@
 // Has tells whether a job is in progress here.
 func (s *State) Has(jobID string) bool { return s.jobs[jobID] != nil }
 
+// FreeCPU returns the free room of the workers that take tasks, in thousandths
+// of a core, or 0 while jobs wait for room.
+func (s *State) FreeCPU(now time.Time) int64 {
+	if len(s.waiting) > 0 {
+		return 0
+	}
+	var sum int64
+	for _, w := range s.order {
+		if w.usable(now) && w.health.limit(now) < 0 {
+			sum += w.free().CPU
+		}
+	}
+	return sum
+}
+
 // Reached returns how many workers are owned and answer, and how many there
 // are.
 func (s *State) Reached(now time.Time) (reachable, all int) {
--- a/entry/relayer/follow.go
+++ b/entry/relayer/follow.go
@@ -117,8 +117,41 @@
 	if reflect.DeepEqual(old.Workers, list) {
 		return
 	}
-	r.fleet.Store(&fleet{Version: old.Version + 1, Workers: list})
-	r.post(placer.Listed{Workers: list})
+	r.useFleet(&fleet{Version: old.Version + 1, Workers: list})
+}
+
+const (
+	// splitAbove is the number of workers from which on each failure domain has
+	// an owner of its own: one owner of 350 workers used 0.4 of a core and ran
+	// behind. Below, one owner places wide jobs better.
+	splitAbove = 120
+	// joinBelow is the number below which one owner has all workers again.
+	joinBelow = 80
+)
+
+// useFleet takes over a list of workers, and with it the group that this entry
+// belongs to.
+func (r *Relayer) useFleet(f *fleet) {
+	r.fleet.Store(f)
+	if n := len(f.Workers); n > splitAbove || n < joinBelow {
+		r.split.Store(n > splitAbove)
+	}
+	if len(f.Workers) == 0 {
+		return
+	}
+	if !r.split.Load() {
+		r.post(elector.Grouped{Group: "all"})
+		r.post(placer.Listed{Workers: f.Workers})
+		return
+	}
+	var own []placer.Worker
+	for _, w := range f.Workers {
+		if w.FailureDomain == r.Self.FailureDomain {
+			own = append(own, w)
+		}
+	}
+	r.post(elector.Grouped{Group: r.Self.FailureDomain})
+	r.post(placer.Listed{Workers: own})
 }
 
 func (r *Relayer) readMembers(ctx context.Context) {
@@ -127,7 +160,12 @@
 	list, err := r.Store.Members(call)
 	r.noteStore("members", err)
 	if err == nil {
-		r.post(elector.Known{Addresses: list})
+		r.members.Store(&list)
+		known := elector.Known{}
+		for _, m := range list {
+			known.Addresses = append(known.Addresses, m.Address)
+		}
+		r.post(known)
 	}
 }
 
--- a/entry/relayer/peer.go
+++ b/entry/relayer/peer.go
@@ -12,6 +12,7 @@
 	"github.com/godwitrelay/godwitrelay/entry/elector"
 	"github.com/godwitrelay/godwitrelay/entry/placer"
 	"github.com/godwitrelay/godwitrelay/entry/router"
+	"github.com/godwitrelay/godwitrelay/entry/spiller"
 )
 
 const (
@@ -29,6 +30,11 @@
 	View           elector.View `json:"view"`
 	ConfigVersion  int64        `json:"configVersion"`
 	WorkersVersion uint64       `json:"workersVersion"`
+	// FreeCPU is the free room of an owner's workers, in thousandths of a core.
+	FreeCPU int64 `json:"freeCpu,omitempty"`
+	// Neighbours are the owners in other failure domains, as the sender knows
+	// them.
+	Neighbours []spiller.Neighbour `json:"neighbours,omitempty"`
 }
 
 func (r *Relayer) beat() beat {
@@ -36,6 +42,10 @@
 	if cfg := r.configuration.Load(); cfg != nil {
 		b.ConfigVersion = cfg.Version
 	}
+	if b.View.Term != 0 {
+		b.FreeCPU = r.freeCPU.Load()
+		b.Neighbours = r.neighbours.List(time.Now())
+	}
 	return b
 }
 
@@ -52,6 +62,7 @@
 		return
 	}
 	r.post(elector.Answered{View: reply.View})
+	r.learnNeighbours(address, reply)
 	r.catchUp(address, reply)
 }
 
@@ -64,11 +75,10 @@
 			r.apply(cfg, address)
 		}
 	}
-	if b.View.Owner == address && r.Self.Address != address && b.WorkersVersion != mine.WorkersVersion && b.WorkersVersion > 0 {
+	if b.View.Owner == address && b.View.Group == r.view.Load().Group && r.Self.Address != address && b.WorkersVersion != mine.WorkersVersion && b.WorkersVersion > 0 {
 		var f fleet
 		if r.fetch(address, "/peer/v1/workers", &f) && len(f.Workers) > 0 && r.ownership.Load().address != r.Self.Address {
-			r.fleet.Store(&f)
-			r.post(placer.Listed{Workers: f.Workers})
+			r.useFleet(&f)
 		}
 	}
 }
--- a/entry/relayer/relayer.go
+++ b/entry/relayer/relayer.go
@@ -17,6 +17,7 @@
 	"github.com/godwitrelay/godwitrelay/entry/exporter"
 	"github.com/godwitrelay/godwitrelay/entry/placer"
 	"github.com/godwitrelay/godwitrelay/entry/router"
+	"github.com/godwitrelay/godwitrelay/entry/spiller"
 )
 
 const (
@@ -47,8 +48,8 @@
 	Workers(ctx context.Context) ([]placer.Worker, error)
 	// Announce publishes the address of this entry.
 	Announce(ctx context.Context, m elector.Member) error
-	// Members returns the addresses that entries have published.
-	Members(ctx context.Context) ([]string, error)
+	// Members returns the entries that have published their address.
+	Members(ctx context.Context) ([]elector.Member, error)
 }
 
 // Relayer is one entry. Set the exported fields before [Relayer.Run].
@@ -73,6 +74,10 @@
 	configuration atomic.Pointer[router.Configuration]
 	fleet         atomic.Pointer[fleet]
 	view          atomic.Pointer[elector.View]
+	members       atomic.Pointer[[]elector.Member]
+	neighbours    spiller.State
+	freeCPU       atomic.Int64
+	split         atomic.Bool
 	ownership     atomic.Pointer[ownership]
 	draining      atomic.Bool
 	inFlight      atomic.Int64
@@ -114,6 +119,7 @@
 func (r *Relayer) Run(ctx context.Context) {
 	defer close(r.done)
 	go r.followStore(ctx)
+	go every(ctx, spiller.AskEvery, func() { r.askNeighbours(time.Now()) })
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	r.handle(time.Now(), elector.Known{Addresses: r.Seeds})
@@ -131,6 +137,7 @@
 		if msg == nil {
 			r.handle(now, elector.Tick{WallMs: now.UnixMilli()})
 			r.handle(now, placer.Tick{})
+			r.freeCPU.Store(r.placer.FreeCPU(now))
 			continue
 		}
 		r.handle(now, msg)
--- a/entry/relayer/submit.go
+++ b/entry/relayer/submit.go
@@ -58,6 +58,12 @@
 				giveUp = time.Now().Add(ownerWait)
 			}
 		case taken:
+			if result.Err == nil || result.Err.Ran != messenger.DidNotRun || len(placements) > 0 {
+				return result
+			}
+			if spilled, ok := r.spill(ctx, job); ok {
+				return spilled
+			}
 			return result
 		}
 		if time.Now().After(giveUp) || time.Now().After(deadline) {
@@ -144,14 +150,20 @@
 		case <-ctx.Done():
 		}
 	}()
+	result, err := r.call(ctx, o.address, job, placements)
+	if err != nil && errors.Is(context.Cause(ctx), errOwnerLost) {
+		err = errors.CombineErrors(errOwnerLost, err)
+	}
+	return result, err
+}
+
+// call sends a job to an owner and waits for its result.
+func (r *Relayer) call(ctx context.Context, address string, job placer.Job, placements []placer.Placement) (placer.Result, error) {
 	var result placer.Result
-	status, err := r.Peers.Call(ctx, http.MethodPost, "http://"+o.address+"/peer/v1/jobs", submission{r.Self.Address, job, placements}, &result)
+	status, err := r.Peers.Call(ctx, http.MethodPost, "http://"+address+"/peer/v1/jobs", submission{r.Self.Address, job, placements}, &result)
 	if err == nil && status != http.StatusOK {
 		err = errors.Newf("the owner answered with status %d", status)
 	}
-	if err != nil && errors.Is(context.Cause(ctx), errOwnerLost) {
-		err = errors.CombineErrors(errOwnerLost, err)
-	}
 	return result, err
 }
 
