--- a/entry/elector/elector.go
+++ b/entry/elector/elector.go
@@ -34,6 +34,11 @@
 	// reclaimEvery is the pause between claims for workers that were taken:
 	// one claim serves all that are lost at once.
 	reclaimEvery = 100 * time.Millisecond
+	// settleFor is how long an owner keeps the workers before it hands them to a
+	// stronger entry, and strongerFactor how many times its processor time that
+	// entry must have.
+	settleFor      = 2 * time.Second
+	strongerFactor = 2
 	// seekEvery is the pause between calls of an owner to entries that don't
 	// call it: they may follow another owner.
 	seekEvery = time.Second
@@ -200,6 +205,7 @@
 	searchSince time.Time
 	startedAt   time.Time
 	deposedAt   time.Time
+	ownedAt     time.Time
 	reclaimedAt time.Time
 	wallMs      int64
 	cmds        []Cmd
@@ -293,6 +299,7 @@
 		s.disown(now, false, "the workers are grouped in another way")
 	}
 	s.group, s.grouped = group, true
+	s.startedAt, s.searchSince = now, now
 	s.follow(now, "", "the workers are grouped in another way")
 	for _, m := range s.members {
 		m.foreign = m.view.From.Address != "" && m.view.Group != group
@@ -362,7 +369,7 @@
 }
 
 func (s *State) own(now time.Time, contested bool, reason string) {
-	s.leading, s.successor = true, ""
+	s.leading, s.successor, s.ownedAt = true, "", now
 	s.term = max(s.wallMs, 1)
 	s.do(Own{WallMs: s.wallMs, Contested: contested})
 	s.follow(now, s.self.Address, reason)
@@ -420,17 +427,32 @@
 
 func (s *State) drain(now time.Time) {
 	s.stopping = true
-	if !s.leading {
-		return
+	if s.leading {
+		s.handOver(now, s.candidate(now, false), "this entry stops")
 	}
-	next := s.candidate(now, false)
+}
+
+// handOver gives the workers to another entry in good order.
+func (s *State) handOver(now time.Time, next, reason string) {
 	if next == "" {
 		return
 	}
 	s.successor = next
-	s.disown(now, true, "this entry stops")
+	s.disown(now, true, reason)
 	s.do(Ping{Address: next})
-	s.follow(now, next, "this entry stops")
+	s.follow(now, next, reason)
+}
+
+// yieldToStronger hands the workers to an entry with far more processor time:
+// a weak owner runs behind when load is high.
+func (s *State) yieldToStronger(now time.Time) {
+	if now.Sub(s.ownedAt) < settleFor {
+		return
+	}
+	next := s.members[s.candidate(now, false)]
+	if next != nil && next.CPU > strongerFactor*s.self.CPU && next.view.Owner == s.self.Address {
+		s.handOver(now, next.Address, "a stronger entry takes over")
+	}
 }
 
 func (s *State) resumed(now time.Time) {
@@ -468,6 +490,7 @@
 	switch {
 	case s.leading:
 		s.seek(now)
+		s.yieldToStronger(now)
 	case s.owner != "":
 		s.check(now)
 	default:
@@ -500,6 +523,10 @@
 		s.follow(now, "", "it is no longer a member")
 		return
 	}
+	if m.foreign {
+		s.follow(now, "", "it belongs to another group")
+		return
+	}
 	if now.Sub(m.answeredAt) > silentFor {
 		s.follow(now, "", "it does not answer")
 		return
--- a/entry/placer/place.go
+++ b/entry/placer/place.go
@@ -1,6 +1,10 @@
 package placer
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // place starts waiting tasks wherever there is room, job by job in the order
 // of the queue. The load pattern it answers: wide and narrow jobs that press on
@@ -11,19 +15,13 @@
 	if !s.owning || !s.changed || len(s.waiting) == 0 {
 		return
 	}
-	s.changed = false
 	s.expireWaiting(now)
-	var most int64
-	for _, w := range s.order {
-		if w.usable(now) {
-			most = max(most, w.free().CPU)
-		}
-	}
+	open := s.openWorkers(now)
 	var kept, begun []*job
 	for _, j := range s.waiting {
 		was := j.started
 		switch {
-		case j.Room.CPU <= most && s.placeJob(now, j):
+		case s.placeJob(now, j, open):
 		case j.started && !was:
 			begun = append(begun, j)
 		default:
@@ -37,20 +35,59 @@
 	s.changed = false
 }
 
+// option is a worker that takes tasks, and what a placement leaves free on it.
+type option struct {
+	w    *worker
+	slow bool
+}
+
+// openWorkers returns the workers that take tasks: sound ones before slow ones,
+// and the fullest first.
+func (s *State) openWorkers(now time.Time) []option {
+	open := make([]option, 0, len(s.order))
+	for _, w := range s.order {
+		if w.free().CPU > 0 && w.usable(now) {
+			open = append(open, option{w, w.speed.slow(now)})
+		}
+	}
+	slices.SortStableFunc(open, compareOptions)
+	return open
+}
+
+func compareOptions(a, b option) int {
+	if a.slow != b.slow {
+		if a.slow {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(a.w.free().CPU, b.w.free().CPU)
+}
+
 // placeJob starts the missing tasks of j for which there is room and reports
-// whether none is left.
-func (s *State) placeJob(now time.Time, j *job) bool {
-	chosen := s.choose(now, j, j.missing())
-	for i := range j.tasks {
-		if len(chosen) == 0 {
-			break
+// whether none is left. Sound workers come before slow ones; of these the
+// fullest that fits comes first, so that room stays together for large tasks.
+func (s *State) placeJob(now time.Time, j *job, open []option) bool {
+	left := j.missing()
+	next := 0
+	for i := range open {
+		o := open[i]
+		if left == 0 || !suits(o.w, j) || o.w.free().CPU < j.Room.CPU {
+			continue
 		}
-		if j.isMissing(i) {
-			s.start(now, chosen[0], j, i)
-			chosen = chosen[1:]
+		n := min(left, o.w.places(now, j))
+		for range n {
+			for !j.isMissing(next) {
+				next++
+			}
+			s.start(now, o.w, j, next)
+			left--
 		}
 	}
-	return j.missing() == 0
+	if next > 0 || left == 0 {
+		slices.SortStableFunc(open, compareOptions)
+	}
+	return left == 0
 }
 
 // isMissing tells whether a task has to be started.
@@ -70,44 +107,6 @@
 	return n
 }
 
-// choose returns workers for up to n tasks of j. Sound workers come before slow
-// ones; of these the fullest that fits comes first, so that room stays together
-// for large tasks.
-func (s *State) choose(now time.Time, j *job, n int) []*worker {
-	type option struct {
-		w    *worker
-		slow bool
-		free Room
-		left int
-	}
-	var options []option
-	for _, w := range s.order {
-		if !suits(w, j) || !w.usable(now) {
-			continue
-		}
-		if left := w.places(now, j); left > 0 {
-			options = append(options, option{w, w.speed.slow(now), w.free(), left})
-		}
-	}
-	var chosen []*worker
-	for len(chosen) < n {
-		var best *option
-		for i := range options {
-			o := &options[i]
-			if o.left > 0 && (best == nil || (best.slow && !o.slow) || (best.slow == o.slow && o.free.CPU < best.free.CPU)) {
-				best = o
-			}
-		}
-		if best == nil {
-			break
-		}
-		best.left--
-		best.free = best.free.Sub(j.Room)
-		chosen = append(chosen, best.w)
-	}
-	return chosen
-}
-
 // places returns how many tasks of j may start on w now.
 func (w *worker) places(now time.Time, j *job) int {
 	n := copies(w.free(), j)
--- a/entry/placer/queue.go
+++ b/entry/placer/queue.go
@@ -12,6 +12,9 @@
 	// overhead is the part of a job's latency that is neither waiting nor work:
 	// the ways between caller, entry, owner and worker.
 	overhead = 15 * time.Millisecond
+	// waitShare is the part of a job's slack that it may wait: its tasks take
+	// longer than expected as often as not.
+	waitShare = 0.35
 	// minWait is the least time that a job may wait, in which several short
 	// tasks end.
 	minWait = 20 * time.Millisecond
@@ -21,7 +24,7 @@
 // latency objective.
 func (s *State) slack(j *job) time.Duration {
 	objective := time.Duration(j.TargetLatencyMs)*time.Millisecond + time.Duration((j.Stretch-1)*float64(s.times.expect(j)))
-	return max(minWait, objective-overhead)
+	return max(minWait, time.Duration(waitShare*float64(objective-overhead)))
 }
 
 // expectedWait is the time until the last task of a new job can start: the
--- a/entry/placer/state.go
+++ b/entry/placer/state.go
@@ -22,7 +22,9 @@
 	ownedAt   time.Time
 	// changed tells that jobs or room were added since the last placement.
 	changed bool
-	cmds    []Cmd
+	// awaitsUntil is when no job awaits runs of an earlier owner any more.
+	awaitsUntil time.Time
+	cmds        []Cmd
 }
 
 // New returns a state that owns nothing. The low bits of salt keep its fences
--- a/entry/placer/submit.go
+++ b/entry/placer/submit.go
@@ -37,6 +37,7 @@
 // takeOver continues a job of an earlier owner.
 func (s *State) takeOver(now time.Time, j *job, list []Placement) {
 	j.started, j.offered = true, true
+	s.awaitsUntil = now.Add(2 * adoptFor)
 	for _, p := range list {
 		if p.Task < 0 || p.Task >= len(j.tasks) {
 			continue
@@ -65,6 +66,9 @@
 
 // adoptAwaited gives runs found on a worker to the jobs that await them.
 func (s *State) adoptAwaited(now time.Time, w *worker) {
+	if now.After(s.awaitsUntil) {
+		return
+	}
 	for _, j := range s.sortedJobs() {
 		for i := range j.tasks {
 			t := &j.tasks[i]
--- a/entry/relayer/peer.go
+++ b/entry/relayer/peer.go
@@ -75,7 +75,7 @@
 			r.apply(cfg, address)
 		}
 	}
-	if b.View.Owner == address && b.View.Group == r.view.Load().Group && r.Self.Address != address && b.WorkersVersion != mine.WorkersVersion && b.WorkersVersion > 0 {
+	if r.ownership.Load().address == address && r.Self.Address != address && b.WorkersVersion != mine.WorkersVersion && b.WorkersVersion > 0 {
 		var f fleet
 		if r.fetch(address, "/peer/v1/workers", &f) && len(f.Workers) > 0 && r.ownership.Load().address != r.Self.Address {
 			r.useFleet(&f)
