placer, elector: owners meet after a partition before one takes workers back

Workers that were out of reach are now left to their owner for 1.5 s; it finds the older one, moves its jobs and yields.

--- a/entry/elector/elector.go
+++ b/entry/elector/elector.go
@@ -321,6 +321,13 @@
 		// A call from this entry's own address changes nothing.
 		return &member{Member: s.self}
 	}
+	back := m.view.Term != 0 || (!m.heardAt().IsZero() && now.Sub(m.heardAt()) > lostFor)
+	if s.leading && back && v.Term == 0 && v.Owner == s.self.Address && now.Sub(s.reclaimedAt) >= reclaimEvery {
+		// It follows this owner again after a partition, in which workers may
+		// have had another owner that has now given them up.
+		s.reclaimedAt = now
+		s.do(Own{WallMs: s.wallMs})
+	}
 	m.Member, m.view, m.stopping, m.refusedAt, m.lost = v.From, v, v.Stopping, time.Time{}, false
 	m.foreign = v.Group != s.group
 	return m
--- a/entry/elector/elector_test.go
+++ b/entry/elector/elector_test.go
@@ -82,9 +82,17 @@
 	n.separate(0, 1)
 	n.run(1500 * time.Millisecond)
 	n.checkOneOwner(t, 0, 1)
-	n.checkOneOwner(t, 2, 3, 4, 5, 6, 7)
+	older := n.entries[n.checkOneOwner(t, 2, 3, 4, 5, 6, 7)]
+	younger := n.entries[n.checkOneOwner(t, 0, 1)]
+	if older.state.View(n.now).Term > younger.state.View(n.now).Term {
+		older, younger = younger, older
+	}
+	owns := older.owns
 	n.heal()
 	n.run(2 * time.Second)
+	if younger.moved != 1 || older.owns <= owns {
+		t.Errorf("the younger owner moved its jobs %d times, the older one claimed %d times, want once each at least", younger.moved, older.owns-owns)
+	}
 	n.checkOneOwner(t, all(n)...)
 	if owners := n.owners(); len(owners) != 1 {
 		t.Errorf("owners are %v", owners)
--- a/entry/elector/network_test.go
+++ b/entry/elector/network_test.go
@@ -22,6 +22,7 @@
 	down, frozen bool
 	owning       bool
 	contested    bool
+	owns         int
 	moved        int
 	lost         []string
 }
@@ -118,6 +119,7 @@
 			n.ping(i, cmd.Address)
 		case elector.Own:
 			e.owning, e.contested = true, cmd.Contested
+			e.owns++
 		case elector.Disown:
 			e.owning = false
 			if cmd.Moved {
--- a/entry/placer/doc.go
+++ b/entry/placer/doc.go
@@ -39,6 +39,9 @@
 	adoptFor = 600 * time.Millisecond
 	// keepEnds is how long the ends of unknown runs are kept for their jobs.
 	keepEnds = 2 * time.Second
+	// reunionFor is how long an owner leaves workers that it could not reach to
+	// the owner that has taken them: the two find each other within a second.
+	reunionFor = 1500 * time.Millisecond
 	// roomPause keeps a worker that refused a task for lack of room from the
 	// next placements.
 	roomPause = 30 * time.Millisecond
--- a/entry/placer/owner.go
+++ b/entry/placer/owner.go
@@ -19,6 +19,11 @@
 		s.log("owner of the workers", map[string]any{"fence": fence, "contested": msg.Contested, "workers": len(s.order)})
 	}
 	s.contested = s.contested && msg.Contested
+	for _, w := range s.order {
+		if w.phase == released {
+			w.retryAt = now
+		}
+	}
 	s.holdAll(now)
 }
 
@@ -152,9 +157,17 @@
 
 // fenced handles a worker that another owner has taken.
 func (s *State) fenced(now time.Time, w *worker) {
-	s.log("another owner took a worker", map[string]any{"worker": w.ID, "fence": w.fence, "phase": int(w.phase)})
+	s.log("another owner took a worker", map[string]any{"worker": w.ID, "fence": w.fence, "unanswered": w.unanswered})
 	s.do(Count{"worker", "fenced"})
 	s.loseRuns(now, w, "another entry took the worker over")
+	if w.unanswered >= silentHolds {
+		// The worker was out of reach, and an owner on its side of a partition
+		// serves it. That one yields in good order when the entries meet; a
+		// claim now would end its jobs.
+		w.phase, w.holding, w.unanswered, w.retryAt = released, false, 0, now.Add(reunionFor)
+		w.forget()
+		return
+	}
 	// A hold under the refused fence may still be open; its answer is ignored.
 	w.phase, w.holding, w.retryAt = released, false, now.Add(retryHold)
 	w.forget()
@@ -164,6 +177,11 @@
 func (s *State) unanswered(now time.Time, w *worker, result HoldResult) {
 	w.unanswered++
 	w.retryAt = now.Add(retryHold)
+	if s.contested && w.phase == claiming {
+		// Out of reach, perhaps beyond a partition: when it heals, the owners
+		// should meet before one takes workers from the other.
+		w.retryAt = now.Add(reunionFor)
+	}
 	if w.unanswered == silentHolds {
 		s.log("worker does not answer", map[string]any{
 			"worker": w.ID, "result": string(result), "ageMs": now.Sub(w.answeredAt).Milliseconds(), "runs": len(w.runs),
--- /dev/null
+++ b/entry/placer/reunion_test.go
@@ -0,0 +1,48 @@
+package placer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/godwitrelay/godwitrelay/entry/placer"
+	"github.com/godwitrelay/godwitrelay/standin/fleet/executor"
+)
+
+// Guards against jobs that end when a partition heals: the owner outside it
+// must not take the workers back before the owner inside has handed them over,
+// and then has to go on with the jobs.
+func TestReunion(t *testing.T) {
+	s := newSimulation(1, 4, 2)
+	s.reclaims = true
+	outside, inside := s.owners[0], s.owners[1]
+	s.tell(outside, placer.Claim{WallMs: 1_700_000_000_000})
+	s.run(100 * time.Millisecond)
+	for _, m := range s.machines[:2] {
+		m.cutFrom[outside] = true
+	}
+	s.run(1500 * time.Millisecond)
+	for _, m := range s.machines[2:] {
+		m.cutFrom[inside] = true
+	}
+	s.tell(inside, placer.Claim{WallMs: s.now.UnixMilli(), Contested: true})
+	s.run(700 * time.Millisecond)
+	j := s.submit(inside, job("j0000", 2, 27000, 900), executor.Task{CPU: 27000, Work: 900 * time.Millisecond})
+	s.run(50 * time.Millisecond)
+	for _, m := range s.machines {
+		m.cutFrom = map[*owner]bool{}
+	}
+	s.run(500 * time.Millisecond)
+	if len(j.answers) != 0 {
+		t.Fatalf("the job was answered with %+v as the partition healed", j.answers)
+	}
+	s.tell(outside, placer.Claim{WallMs: s.now.UnixMilli()})
+	s.tell(inside, placer.Release{Moved: true, Reason: "an older owner was found"})
+	s.submit(outside, j.job, j.task, j.answers[0].Placements...)
+	s.run(time.Second)
+	for _, f := range s.faults {
+		t.Error(f)
+	}
+	if n := len(j.answers); n != 2 || !j.answers[1].Completed || s.started != 2 {
+		t.Errorf("answers %+v after %d starts, want a completed job after 2", j.answers, s.started)
+	}
+}
--- a/entry/placer/simulation_test.go
+++ b/entry/placer/simulation_test.go
@@ -87,12 +87,14 @@
 	owners   []*owner
 	// current is the owner to which jobs go.
 	current *owner
-	jobs    map[string]*submitted
-	waiters map[placer.Waiter]*submitted
-	next    placer.Waiter
-	faults  []string
-	started int
-	trace   []string
+	// reclaims has owners claim again when another one took a worker.
+	reclaims bool
+	jobs     map[string]*submitted
+	waiters  map[placer.Waiter]*submitted
+	next     placer.Waiter
+	faults   []string
+	started  int
+	trace    []string
 }
 
 func newSimulation(seed int64, machines, owners int) *simulation {
@@ -166,6 +168,10 @@
 			s.stop(o, cmd)
 		case placer.Answer:
 			s.answer(o, cmd)
+		case placer.Deposed:
+			if s.reclaims {
+				s.after(time.Millisecond, func(now time.Time) { s.tell(o, placer.Claim{WallMs: now.UnixMilli()}) })
+			}
 		case placer.Log:
 			s.trace = append(s.trace, fmt.Sprintf("%s %s %s %v", s.now.Format("05.000"), o.name, cmd.Text, cmd.Fields))
 		}
