--- a/entry/exporter/exporter.go
+++ b/entry/exporter/exporter.go
@@ -24,6 +24,8 @@
 	version  prometheus.Gauge
 	members  prometheus.Gauge
 	jobs     prometheus.Gauge
+	// ownership is set on the operators' platform only.
+	ownership *prometheus.GaugeVec
 }
 
 // New returns metrics that start at zero, with every kind of refusal present.
@@ -35,6 +37,7 @@
 			"retry":   counter("retries_total", "Tasks that were placed again because they had not started, by reason.", "reason"),
 			"message": counter("messages_total", "Messages sent to other processes, by kind.", "kind"),
 			"wasted":  counter("wasted_messages_total", "Messages that did not bring a finished task forward, by reason.", "reason"),
+			"worker":  counter("worker_changes_total", "Changes in the owner's view of a worker of the operators' platform, by reason.", "reason"),
 			"target":  counter("target_changes_total", "Changes in the broker's view of a target, by reason.", "reason"),
 		},
 		response: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -42,16 +45,17 @@
 			Help:    "Time from the receipt of a job to its final answer, by priority and outcome.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
 		}, []string{"priority", "outcome"}),
-		slots:   gauge("slots", "Slots of a service in this failure domain as its broker knows them; state is share or in_use.", "service", "state"),
-		waiting: gauge("waiting_tasks", "Tasks in the broker's queue, by service.", "service"),
-		version: plain("configuration_version", "Version of the configuration in force."),
-		members: plain("live_members", "Live entries of the failure domain, this one included."),
-		jobs:    plain("jobs_in_progress", "Jobs of this entry without a final answer."),
+		slots:     gauge("slots", "Slots of a service in this failure domain as its broker knows them; state is share or in_use.", "service", "state"),
+		waiting:   gauge("waiting_tasks", "Tasks in the broker's queue, by service.", "service"),
+		version:   plain("configuration_version", "Version of the configuration in force."),
+		members:   plain("live_members", "Live entries of the failure domain, this one included."),
+		jobs:      plain("jobs_in_progress", "Jobs of this entry without a final answer."),
+		ownership: gauge("ownership", "On the operators' platform: whether this entry owns workers, and how they are.", "state"),
 	}
 	for _, c := range e.groups {
 		e.registry.MustRegister(c)
 	}
-	e.registry.MustRegister(e.response, e.slots, e.waiting, e.version, e.members, e.jobs,
+	e.registry.MustRegister(e.response, e.slots, e.waiting, e.ownership, e.version, e.members, e.jobs,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	for _, k := range messenger.Kinds() {
 		e.groups["refusal"].WithLabelValues(string(k))
@@ -100,6 +104,34 @@
 	}
 }
 
+// Ownership is what an entry on the operators' platform knows of its workers.
+type Ownership struct {
+	ConfigVersion int64
+	Owner         bool
+	// Workers is the number of workers in the group, Reachable that of those
+	// that answer this entry as their owner.
+	Workers, Reachable int
+	Jobs, Waiting      int
+	// Lag is the delay of events in the entry's loop.
+	Lag time.Duration
+}
+
+// ShowOwnership sets the gauges of an entry on the operators' platform.
+func (e *Exporter) ShowOwnership(o Ownership) {
+	e.version.Set(float64(o.ConfigVersion))
+	e.jobs.Set(float64(o.Jobs))
+	owner := 0.0
+	if o.Owner {
+		owner = 1
+	}
+	for state, v := range map[string]float64{
+		"owner": owner, "workers": float64(o.Workers), "reachable_workers": float64(o.Reachable),
+		"waiting_jobs": float64(o.Waiting), "loop_lag_seconds": o.Lag.Seconds(),
+	} {
+		e.ownership.WithLabelValues(state).Set(v)
+	}
+}
+
 // Handler serves the metrics.
 func (e *Exporter) Handler() http.Handler {
 	return promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{})
--- a/entry/placer/message.go
+++ b/entry/placer/message.go
@@ -177,6 +177,29 @@
 	Placements []Placement `json:"placements,omitempty"`
 }
 
+// Outcome names the result in a word.
+func (r Result) Outcome() string {
+	switch {
+	case r.Completed:
+		return "completed"
+	case r.Failed:
+		return "failed"
+	case r.Moved:
+		return "moved"
+	case r.Err != nil:
+		return string(r.Err.Kind)
+	default:
+		return "none"
+	}
+}
+
+func (r Result) reason() string {
+	if r.Err == nil {
+		return ""
+	}
+	return r.Err.Message
+}
+
 // Placement is the last start of a task under an owner that gave the job up
 // in good order.
 type Placement struct {
--- a/entry/placer/submit.go
+++ b/entry/placer/submit.go
@@ -164,7 +164,7 @@
 	}
 	s.answer(j, result)
 	s.log("job ended", map[string]any{
-		"job": j.ID, "queue": j.Queue, "entry": j.entry, "outcome": outcome(result), "offered": j.offered,
+		"job": j.ID, "queue": j.Queue, "entry": j.entry, "outcome": result.Outcome(), "reason": result.reason(), "offered": j.offered,
 		"tasks": len(j.tasks), "left": j.left, "ageMs": now.Sub(j.arrived).Milliseconds(),
 	})
 }
@@ -176,19 +176,6 @@
 	s.do(Answer{j.waiter, result})
 }
 
-func outcome(r Result) string {
-	switch {
-	case r.Completed:
-		return "completed"
-	case r.Failed:
-		return "failed"
-	case r.Moved:
-		return "moved"
-	default:
-		return string(r.Err.Kind) + ": " + r.Err.Message
-	}
-}
-
 // requeue puts a job with tasks to start back into the queue.
 func (s *State) requeue(_ time.Time, j *job) {
 	for _, o := range s.waiting {
--- a/entry/relayer/relayer.go
+++ b/entry/relayer/relayer.go
@@ -26,6 +26,8 @@
 	tickEvery = 20 * time.Millisecond
 	// lagKept is the percentage of the loop's delay that is kept at each tick.
 	lagKept = 80
+	// metricsEvery is the age that gauges may have.
+	metricsEvery = time.Second
 	// pauseFrom is the difference between the clock that counts suspended time
 	// and the one that doesn't from which on the process counts as paused.
 	pauseFrom = 150 * time.Millisecond
@@ -85,7 +87,8 @@
 	storeMu       sync.Mutex
 	bootOffset    time.Duration
 	// lag is the recent delay of events in the loop.
-	lag time.Duration
+	lag     time.Duration
+	shownAt time.Time
 }
 
 // fleet is a version of the list of workers. Versions of one entry rise; those
@@ -138,12 +141,28 @@
 			r.handle(now, elector.Tick{WallMs: now.UnixMilli()})
 			r.handle(now, placer.Tick{})
 			r.freeCPU.Store(r.placer.FreeCPU(now))
+			r.showMetrics(now)
 			continue
 		}
 		r.handle(now, msg)
 	}
 }
 
+// showMetrics sets the gauges, once a second.
+func (r *Relayer) showMetrics(now time.Time) {
+	if now.Sub(r.shownAt) < metricsEvery {
+		return
+	}
+	r.shownAt = now
+	o := exporter.Ownership{Owner: r.placer.Owning(), Lag: r.lag}
+	o.Reachable, o.Workers = r.placer.Reached(now)
+	o.Jobs, o.Waiting = r.placer.Jobs()
+	if cfg := r.configuration.Load(); cfg != nil {
+		o.ConfigVersion = cfg.Version
+	}
+	r.Metrics.ShowOwnership(o)
+}
+
 // checkPause notices that the process was suspended, which the steady clock
 // does not count.
 func (r *Relayer) checkPause(now time.Time) {
--- a/entry/relayer/submit.go
+++ b/entry/relayer/submit.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
 	"github.com/godwitrelay/godwitrelay/entry/placer"
@@ -28,6 +30,21 @@
 // Submit has a job run by the owner of the workers and returns what became of
 // it. It ends early when ctx does, since the caller left.
 func (r *Relayer) Submit(ctx context.Context, job placer.Job) placer.Result {
+	began := time.Now()
+	result := r.submit(ctx, job)
+	took := time.Since(began)
+	r.Metrics.Observe(messenger.Priority(strconv.Itoa(job.Priority)), messenger.Outcome(result.Outcome()), took)
+	if result.Err != nil {
+		r.Metrics.Count("refusal", string(result.Err.Kind))
+		r.Log.WithFields(logrus.Fields{
+			"job": job.ID, "queue": job.Queue, "tasks": job.Tasks, "kind": string(result.Err.Kind), "reason": result.Err.Message,
+			"owner": r.ownership.Load().address, "ageMs": took.Milliseconds(),
+		}).Info("relayer: job was not completed")
+	}
+	return result
+}
+
+func (r *Relayer) submit(ctx context.Context, job placer.Job) placer.Result {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	ctx, cancel := context.WithCancel(ctx)
