--- a/entry/placer/queue.go
+++ b/entry/placer/queue.go
@@ -15,6 +15,9 @@
 	// waitShare is the part of a job's slack that it may wait: its tasks take
 	// longer than expected as often as not.
 	waitShare = 0.35
+	// firstWaitShare is the same for the first priority, whose jobs get each
+	// free place before all others, and so rarely wait to the end.
+	firstWaitShare = 0.8
 	// minWait is the least time that a job may wait, in which several short
 	// tasks end.
 	minWait = 20 * time.Millisecond
@@ -24,7 +27,11 @@
 // latency objective.
 func (s *State) slack(j *job) time.Duration {
 	objective := time.Duration(j.TargetLatencyMs)*time.Millisecond + time.Duration((j.Stretch-1)*float64(s.times.expect(j)))
-	return max(minWait, time.Duration(waitShare*float64(objective-overhead)))
+	share := waitShare
+	if j.Priority == 0 {
+		share = firstWaitShare
+	}
+	return max(minWait, time.Duration(share*float64(objective-overhead)))
 }
 
 // expectedWait is the time until the last task of a new job can start: the
--- a/entry/placer/simulation_test.go
+++ b/entry/placer/simulation_test.go
@@ -17,6 +17,8 @@
 	simulatedTick    = 20 * time.Millisecond
 	orderTimeout     = 50 * time.Millisecond
 	holdSlack        = 200 * time.Millisecond
+	// lookEvery is the precision at which a waiting hold notices an end.
+	lookEvery = 4 * time.Millisecond
 )
 
 // event is something that happens at a time of the simulation.
@@ -218,7 +220,8 @@
 			if end := m.NextEnd(); !end.IsZero() && end.Before(next) {
 				next = end
 			}
-			s.after(max(next.Sub(now), time.Millisecond), look)
+			// Runs that begin while the hold waits may end first.
+			s.after(min(max(next.Sub(now), time.Millisecond), lookEvery), look)
 			return
 		}
 		reply := held
--- a/standin/fleet/executor/executor.go
+++ b/standin/fleet/executor/executor.go
@@ -51,7 +51,10 @@
 	Born time.Time
 	// FailsAll makes every run fail.
 	FailsAll bool
+	// Slowness makes runs take that many times as long, if over 1.
+	Slowness int
 
+	ended   map[string]int
 	fence   int64
 	lease   time.Time
 	runs    map[Key]*Run
@@ -115,7 +118,7 @@
 	if e.runs == nil {
 		e.runs = map[Key]*Run{}
 	}
-	e.runs[key] = &Run{Key: key, CPU: task.CPU, Began: now, Work: task.Work, Hangs: task.Hangs, Fails: task.Fails || e.FailsAll}
+	e.runs[key] = &Run{Key: key, CPU: task.CPU, Began: now, Work: task.Work * time.Duration(max(e.Slowness, 1)), Hangs: task.Hangs, Fails: task.Fails || e.FailsAll}
 	return ""
 }
 
@@ -158,11 +161,8 @@
 	return e.Runs(now), append([]End(nil), e.ends...), true
 }
 
-// HasEnds tells whether ends after seen wait to be listed.
-func (e *Executor) HasEnds(now time.Time, seen int64) bool {
-	e.advance(now)
-	return len(e.ends) > 0 && e.ends[len(e.ends)-1].Index > seen
-}
+// Ended returns how many runs have ended in a way, over all lives.
+func (e *Executor) Ended(how string) int { return e.ended[how] }
 
 // NextEnd returns when a run ends next by itself, or the zero time.
 func (e *Executor) NextEnd() time.Time {
@@ -234,6 +234,10 @@
 	delete(e.runs, key)
 	e.last++
 	e.ends = append(e.ends, End{e.last, key, how})
+	if e.ended == nil {
+		e.ended = map[string]int{}
+	}
+	e.ended[how]++
 	if e.highest == nil {
 		e.highest = map[string]int64{}
 	}
