--- a/entry/relayer/relayer.go
+++ b/entry/relayer/relayer.go
@@ -22,6 +22,9 @@
 
 const (
 	queueLength = 4096
+	// stallFrom is the time between two events of the loop, ticks included, from
+	// which on the process counts as paused: others take it as lost by then.
+	stallFrom = 600 * time.Millisecond
 	// tickEvery is the precision of waits and time-outs.
 	tickEvery = 20 * time.Millisecond
 	// lagKept is the percentage of the loop's delay that is kept at each tick.
@@ -87,7 +90,9 @@
 	storeMu       sync.Mutex
 	bootOffset    time.Duration
 	// lag is the recent delay of events in the loop.
-	lag     time.Duration
+	lag time.Duration
+	// loopAt is when the loop handled its last event.
+	loopAt  time.Time
 	shownAt time.Time
 }
 
@@ -163,11 +168,15 @@
 	r.Metrics.ShowOwnership(o)
 }
 
-// checkPause notices that the process was suspended, which the steady clock
-// does not count.
+// checkPause notices that the process was suspended, whether the steady clock
+// counts that time or not.
 func (r *Relayer) checkPause(now time.Time) {
-	offset := bootOffset()
+	offset, loopAt := bootOffset(), r.loopAt
+	r.loopAt = now
 	gap := offset - r.bootOffset
+	if stall := now.Sub(loopAt); gap < pauseFrom && !loopAt.IsZero() && stall >= stallFrom {
+		gap = stall
+	}
 	if gap < pauseFrom {
 		return
 	}
--- a/standin/fleet/listener/fleet.go
+++ b/standin/fleet/listener/fleet.go
@@ -8,6 +8,7 @@
 	"math/rand"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -39,6 +40,8 @@
 	random     *rand.Rand
 	violations []string
 	started    int
+	// jobs counts the runs of each job's tasks.
+	jobs map[string]int
 }
 
 // Worker is a stand-in for one worker.
@@ -84,6 +87,13 @@
 	return f.started
 }
 
+// StartedOf returns how many runs of a job's tasks have begun.
+func (f *Fleet) StartedOf(jobID string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.jobs[jobID]
+}
+
 // Running returns how many runs are at work.
 func (f *Fleet) Running() int {
 	f.mu.Lock()
@@ -191,6 +201,10 @@
 	}, o.UntilMs, o.FencingToken)
 	if reason == "" && len(w.Runs(now)) > before {
 		f.started++
+		if f.jobs == nil {
+			f.jobs = map[string]int{}
+		}
+		f.jobs[strings.SplitN(o.Task, ".", 2)[0]]++
 		f.checkAlone(now, w, key)
 	}
 	return reason, w.ClockMs(now)
