placer, elector: fences rise only after a refusal, and a successor climbs

After a planned stop the successor's first fence was below the old ones, and it stepped down at the first refusal, since nobody called it yet; the next ones did the same, for 15 s. Entries now tell each other the highest fence, a refused one is raised in growing steps, and a successor named in good order may climb. TestFences and TestSuccessorClimbs failed before.

--- a/entry/elector/elector.go
+++ b/entry/elector/elector.go
@@ -206,6 +206,7 @@
 	startedAt   time.Time
 	deposedAt   time.Time
 	ownedAt     time.Time
+	contested   bool
 	reclaimedAt time.Time
 	wallMs      int64
 	cmds        []Cmd
@@ -376,7 +377,7 @@
 }
 
 func (s *State) own(now time.Time, contested bool, reason string) {
-	s.leading, s.successor, s.ownedAt = true, "", now
+	s.leading, s.successor, s.ownedAt, s.contested = true, "", now, contested
 	s.term = max(s.wallMs, 1)
 	s.do(Own{WallMs: s.wallMs, Contested: contested})
 	s.follow(now, s.self.Address, reason)
@@ -404,7 +405,9 @@
 		return
 	}
 	heard, all := s.count(now)
-	if 2*heard >= all && heard > 1 {
+	// The others call a new owner only after they have heard of it.
+	fresh := !s.contested && now.Sub(s.ownedAt) < hearFor
+	if fresh || (2*heard >= all && heard > 1) {
 		if now.Sub(s.reclaimedAt) >= reclaimEvery {
 			s.reclaimedAt = now
 			s.do(Own{WallMs: s.wallMs})
--- a/entry/elector/elector_test.go
+++ b/entry/elector/elector_test.go
@@ -130,6 +130,24 @@
 	}
 }
 
+// Guards against a successor that steps down because its first fence was too
+// low, before the others know of it: nobody owned the workers for 15 s.
+func TestSuccessorClimbs(t *testing.T) {
+	n := newNetwork(8, 8)
+	n.run(5 * time.Second)
+	first := n.checkOneOwner(t, all(n)...)
+	n.tell(first, elector.Drain{})
+	n.run(5 * time.Millisecond)
+	owners := n.owners()
+	if len(owners) != 1 {
+		t.Fatalf("owners are %v", owners)
+	}
+	n.tell(owners[0], elector.Deposed{})
+	if e := n.entries[owners[0]]; !e.owning || e.owns < 2 {
+		t.Error("the successor does not claim again")
+	}
+}
+
 // Guards against a planned stop that leaves the workers without an owner.
 func TestDrain(t *testing.T) {
 	n := newNetwork(6, 8)
--- a/entry/placer/doc.go
+++ b/entry/placer/doc.go
@@ -45,8 +45,8 @@
 	// roomPause keeps a worker that refused a task for lack of room from the
 	// next placements.
 	roomPause = 30 * time.Millisecond
-	// fenceStep raises a fence that was refused: wall clocks of entries may be
-	// seconds apart.
+	// fenceStep is the first step by which a refused fence is raised, in
+	// milliseconds: wall clocks of entries may be seconds apart.
 	fenceStep = 4096
 	// fenceSaltBits are the low bits of a fence that tell entries apart.
 	fenceSaltBits = 10
--- a/entry/placer/invariant_test.go
+++ b/entry/placer/invariant_test.go
@@ -50,9 +50,9 @@
 func playHistory(t *testing.T, seed int64) {
 	s := newSimulation(seed, 12, 2)
 	r := s.random
-	s.fault = fault{lost: 0.02 * r.Float64(), late: 0.05 * r.Float64(), mute: 0.03 * r.Float64()}
+	s.fault = fault{lost: 0.02 * r.Float64(), late: 0.05 * r.Float64(), mute: 0.03 * r.Float64(), stops: 0.4 * r.Float64()}
 	current := s.owners[0]
-	s.current = current
+	s.current, s.reclaims = current, true
 	wall := int64(1_700_000_000_000)
 	s.tell(current, placer.Claim{WallMs: wall})
 	s.run(50 * time.Millisecond)
--- a/entry/placer/message.go
+++ b/entry/placer/message.go
@@ -20,7 +20,9 @@
 // one worker of each failure domain first, and the rest only if no other owner
 // takes it back.
 type Claim struct {
-	WallMs    int64
+	WallMs int64
+	// Above is the highest fence that this entry has heard of.
+	Above     int64
 	Contested bool
 }
 
--- a/entry/placer/owner.go
+++ b/entry/placer/owner.go
@@ -9,14 +9,10 @@
 // claim makes this entry the owner, or claims again the workers that another
 // owner took.
 func (s *State) claim(now time.Time, msg Claim) {
-	fence := msg.WallMs<<fenceSaltBits | s.salt
-	if fence <= s.fence {
-		fence = s.fence + fenceStep<<fenceSaltBits
-	}
-	s.fence = fence
+	s.raiseFence(msg)
 	if !s.owning {
 		s.owning, s.contested, s.ownedAt = true, msg.Contested, now
-		s.log("owner of the workers", map[string]any{"fence": fence, "contested": msg.Contested, "workers": len(s.order)})
+		s.log("owner of the workers", map[string]any{"fence": s.fence, "contested": msg.Contested, "workers": len(s.order)})
 	}
 	s.contested = s.contested && msg.Contested
 	for _, w := range s.order {
@@ -27,6 +23,19 @@
 	s.holdAll(now)
 }
 
+// raiseFence makes sure that the fence of new claims is above all that are
+// known. After a refusal it climbs in growing steps, since a worker does not
+// say which fence it has seen.
+func (s *State) raiseFence(msg Claim) {
+	fence := max(msg.WallMs, msg.Above>>fenceSaltBits+1)<<fenceSaltBits | s.salt
+	if s.refused {
+		s.refused = false
+		fence = max(fence, s.fence+s.climb<<fenceSaltBits)
+		s.climb *= 2
+	}
+	s.fence = max(s.fence, fence)
+}
+
 // release gives up all workers. Jobs move to the successor, or end without an
 // answer about their runs.
 func (s *State) release(msg Release) {
@@ -147,6 +156,9 @@
 	if msg.BornMs > 0 && msg.BornMs != w.BornMs {
 		s.reborn(w, msg.BornMs)
 	}
+	if w.phase == claiming && w.fence == s.fence {
+		s.climb = fenceStep
+	}
 	w.phase, w.unanswered, w.answeredAt = owned, 0, now
 	w.clockMs, w.clockAt = msg.ClockMs, now
 	s.reconcile(now, w, msg)
@@ -159,6 +171,7 @@
 func (s *State) fenced(now time.Time, w *worker) {
 	s.log("another owner took a worker", map[string]any{"worker": w.ID, "fence": w.fence, "unanswered": w.unanswered})
 	s.do(Count{"worker", "fenced"})
+	s.refused = true
 	s.loseRuns(now, w, "another entry took the worker over")
 	if w.unanswered >= silentHolds {
 		// The worker was out of reach, and an owner on its side of a partition
--- a/entry/placer/simulation_test.go
+++ b/entry/placer/simulation_test.go
@@ -51,6 +51,8 @@
 	// lost starts get no answer and never arrive; late ones get no answer and
 	// arrive 2 to 12 s later; mute ones arrive and their answer is lost.
 	lost, late, mute float64
+	// stops are lost at this share: neither carried out nor answered.
+	stops float64
 }
 
 // machine is a simulated worker. The owners in cutFrom don't reach it.
@@ -96,13 +98,15 @@
 	next     placer.Waiter
 	faults   []string
 	started  int
-	trace    []string
+	// numbers are the last sent run numbers of tasks.
+	numbers map[string]int64
+	trace   []string
 }
 
 func newSimulation(seed int64, machines, owners int) *simulation {
 	s := &simulation{
 		now: time.UnixMilli(1_700_000_000_000), random: rand.New(rand.NewSource(seed)),
-		jobs: map[string]*submitted{}, waiters: map[placer.Waiter]*submitted{},
+		jobs: map[string]*submitted{}, waiters: map[placer.Waiter]*submitted{}, numbers: map[string]int64{},
 	}
 	for i := range machines {
 		cpu := int64(64000)
@@ -172,7 +176,11 @@
 			s.answer(o, cmd)
 		case placer.Deposed:
 			if s.reclaims {
-				s.after(time.Millisecond, func(now time.Time) { s.tell(o, placer.Claim{WallMs: now.UnixMilli()}) })
+				s.after(time.Millisecond, func(now time.Time) {
+					if s.current == nil || s.current == o {
+						s.tell(o, placer.Claim{WallMs: now.UnixMilli()})
+					}
+				})
 			}
 		case placer.Log:
 			s.trace = append(s.trace, fmt.Sprintf("%s %s %s %v", s.now.Format("05.000"), o.name, cmd.Text, cmd.Fields))
@@ -250,6 +258,10 @@
 
 func (s *simulation) start(o *owner, cmd placer.Start) {
 	m := s.machine(cmd.Worker)
+	if last := s.numbers[cmd.Key.Task]; cmd.Key.Number <= last {
+		s.complain("start %d of task %s was sent after start %d", cmd.Key.Number, cmd.Key.Task, last)
+	}
+	s.numbers[cmd.Key.Task] = cmd.Key.Number
 	started := placer.Started{Worker: cmd.Worker, Fence: cmd.Fence, Key: cmd.Key, Result: placer.StartNoAnswer}
 	p := s.random.Float64()
 	f := s.fault
@@ -259,7 +271,14 @@
 		return
 	case p < f.lost+f.late:
 		s.after(orderTimeout, func(time.Time) { s.tell(o, started) })
-		s.after(2*time.Second+time.Duration(s.random.Int63n(int64(10*time.Second))), func(now time.Time) { s.begin(now, m, cmd) })
+		fromArrival := s.random.Intn(2) == 0
+		s.after(2*time.Second+time.Duration(s.random.Int63n(int64(10*time.Second))), func(now time.Time) {
+			if fromArrival {
+				// On some days the lease of a late order counts from its arrival.
+				cmd.UntilMs = m.ClockMs(now) + 1000
+			}
+			s.begin(now, m, cmd)
+		})
 		return
 	}
 	mute := p < f.lost+f.late+f.mute
@@ -302,7 +321,7 @@
 
 func (s *simulation) stop(o *owner, cmd placer.Stop) {
 	m := s.machine(cmd.Worker)
-	if m.cutFrom[o] {
+	if m.cutFrom[o] || s.random.Float64() < s.fault.stops {
 		s.after(orderTimeout, func(time.Time) { s.tell(o, placer.Stopped{Worker: cmd.Worker, Key: cmd.Key}) })
 		return
 	}
--- a/entry/placer/state.go
+++ b/entry/placer/state.go
@@ -19,7 +19,11 @@
 	owning    bool
 	contested bool
 	fence     int64
-	ownedAt   time.Time
+	// refused tells that a worker has seen a higher fence, and climb by how much
+	// the next claim raises it, in milliseconds of the clock.
+	refused bool
+	climb   int64
+	ownedAt time.Time
 	// changed tells that jobs or room were added since the last placement.
 	changed bool
 	// awaitsUntil is when no job awaits runs of an earlier owner any more.
@@ -32,7 +36,7 @@
 func New(salt uint64) *State {
 	return &State{
 		salt:    int64(salt & (1<<fenceSaltBits - 1)),
-		workers: map[string]*worker{}, jobs: map[string]*job{},
+		workers: map[string]*worker{}, jobs: map[string]*job{}, climb: fenceStep,
 		times: estimator{},
 	}
 }
@@ -94,6 +98,9 @@
 	return sum
 }
 
+// Fence returns the highest fence that this entry has claimed with.
+func (s *State) Fence() int64 { return s.fence }
+
 // Reached returns how many workers are owned and answer, and how many there
 // are.
 func (s *State) Reached(now time.Time) (reachable, all int) {
--- a/entry/relayer/peer.go
+++ b/entry/relayer/peer.go
@@ -30,6 +30,8 @@
 	View           elector.View `json:"view"`
 	ConfigVersion  int64        `json:"configVersion"`
 	WorkersVersion uint64       `json:"workersVersion"`
+	// Fence is the highest fence that the sender has heard of.
+	Fence int64 `json:"fence"`
 	// FreeCPU is the free room of an owner's workers, in thousandths of a core.
 	FreeCPU int64 `json:"freeCpu,omitempty"`
 	// Neighbours are the owners in other failure domains, as the sender knows
@@ -38,7 +40,7 @@
 }
 
 func (r *Relayer) beat() beat {
-	b := beat{View: *r.view.Load(), WorkersVersion: r.fleet.Load().Version}
+	b := beat{View: *r.view.Load(), WorkersVersion: r.fleet.Load().Version, Fence: r.fence.Load()}
 	if cfg := r.configuration.Load(); cfg != nil {
 		b.ConfigVersion = cfg.Version
 	}
@@ -61,6 +63,7 @@
 		r.post(elector.Unanswered{Address: address, Refused: errors.Is(err, messenger.ErrNotSent) && errors.Is(err, syscall.ECONNREFUSED)})
 		return
 	}
+	r.learnFence(reply.Fence)
 	r.post(elector.Answered{View: reply.View})
 	r.learnNeighbours(address, reply)
 	r.catchUp(address, reply)
@@ -117,6 +120,7 @@
 		messenger.Reply(w, err.Status(), err)
 		return
 	}
+	r.learnFence(b.Fence)
 	r.post(elector.Called{View: b.View})
 	messenger.Reply(w, http.StatusOK, r.beat())
 	go r.catchUp(b.View.From.Address, b)
--- a/entry/relayer/relayer.go
+++ b/entry/relayer/relayer.go
@@ -82,13 +82,15 @@
 	members       atomic.Pointer[[]elector.Member]
 	neighbours    spiller.State
 	freeCPU       atomic.Int64
-	split         atomic.Bool
-	ownership     atomic.Pointer[ownership]
-	draining      atomic.Bool
-	inFlight      atomic.Int64
-	storeDown     map[string]bool
-	storeMu       sync.Mutex
-	bootOffset    time.Duration
+	// fence is the highest fence that this entry has heard of.
+	fence      atomic.Int64
+	split      atomic.Bool
+	ownership  atomic.Pointer[ownership]
+	draining   atomic.Bool
+	inFlight   atomic.Int64
+	storeDown  map[string]bool
+	storeMu    sync.Mutex
+	bootOffset time.Duration
 	// lag is the recent delay of events in the loop.
 	lag time.Duration
 	// loopAt is when the loop handled its last event.
@@ -153,6 +155,16 @@
 	}
 }
 
+// learnFence keeps the highest fence, so that the next owner begins above it.
+func (r *Relayer) learnFence(fence int64) {
+	for {
+		old := r.fence.Load()
+		if fence <= old || r.fence.CompareAndSwap(old, fence) {
+			return
+		}
+	}
+}
+
 // showMetrics sets the gauges, once a second.
 func (r *Relayer) showMetrics(now time.Time) {
 	if now.Sub(r.shownAt) < metricsEvery {
@@ -249,7 +261,8 @@
 	case elector.Ping:
 		go r.ping(cmd.Address)
 	case elector.Own:
-		r.handle(now, placer.Claim{WallMs: cmd.WallMs, Contested: cmd.Contested})
+		r.handle(now, placer.Claim{WallMs: cmd.WallMs, Above: r.fence.Load(), Contested: cmd.Contested})
+		r.learnFence(r.placer.Fence())
 	case elector.Disown:
 		r.handle(now, placer.Release{Moved: cmd.Moved, Reason: cmd.Reason})
 	case elector.Lost:
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -36,6 +36,7 @@
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	exited   chan struct{}
+	alive    bool
 	// stopping is set from SIGTERM on, and killed from SIGKILL on.
 	stopping, killed bool
 }
@@ -115,8 +116,14 @@
 	return address
 }
 
-// start begins a new life of a process, whose output is appended to its log.
+// start begins a new life of a process unless it lives: faults overlap, and
+// each starts what it has ended. Output is appended to the process's log.
 func (d *deployment) start(p *process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.alive {
+		return
+	}
 	out, err := os.OpenFile(filepath.Join(d.folder, fmt.Sprintf("entry-%d.log", p.index)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		d.t.Error(err)
@@ -130,12 +137,11 @@
 		return
 	}
 	exited := make(chan struct{})
-	p.mu.Lock()
-	p.cmd, p.exited, p.stopping, p.killed = cmd, exited, false, false
-	p.mu.Unlock()
+	p.cmd, p.exited, p.alive, p.stopping, p.killed = cmd, exited, true, false, false
 	go func() {
 		err := cmd.Wait()
 		p.mu.Lock()
+		p.alive = false
 		if !p.killed && (err != nil || !p.stopping) {
 			d.t.Errorf("entry %d ended by itself: %v", p.index, err)
 		}
@@ -157,14 +163,21 @@
 
 func (d *deployment) kill(p *process) {
 	p.signal(syscall.SIGKILL)
-	<-p.exited
+	<-p.exit()
+}
+
+// exit returns the channel that is closed when the present life ends.
+func (p *process) exit() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exited
 }
 
 // stop ends a process in good order and checks that it keeps to its time.
 func (d *deployment) stop(p *process) {
 	p.signal(syscall.SIGTERM)
 	select {
-	case <-p.exited:
+	case <-p.exit():
 	case <-time.After(graceTime):
 		p.mu.Lock()
 		killed := p.killed
