elector: halves of the entries don't take workers from each other

An entry that was heard before it knew its workers counted as foreign for good, so five entries were known in place of eight and a half took itself for most; and both halves claimed back. An owner that yields to an older one names it as its successor, so jobs in progress move with one step.

--- a/entry/elector/elector.go
+++ b/entry/elector/elector.go
@@ -17,8 +17,9 @@
 	// silentFor is the time without an answer after which the owner is taken
 	// as lost. Leases of 1 s then leave time for a takeover.
 	silentFor = 450 * time.Millisecond
-	// hearFor is the age up to which another entry counts as heard.
-	hearFor = 600 * time.Millisecond
+	// hearFor is the age up to which another entry counts as heard. It is below
+	// silentFor, so that an owner that was just lost does not count.
+	hearFor = 400 * time.Millisecond
 	// lostFor is the time without a call after which the jobs of an entry are
 	// stopped. Its caller may send them again 1.3 s after it lost its answer.
 	lostFor = 700 * time.Millisecond
@@ -142,6 +143,8 @@
 type Own struct {
 	WallMs    int64
 	Contested bool
+	// Heard and Known count entries, this one included.
+	Heard, Known int
 }
 
 // Disown gives the workers up; with Moved to a successor that knows.
@@ -303,7 +306,7 @@
 	s.startedAt, s.searchSince = now, now
 	s.follow(now, "", "the workers are grouped in another way")
 	for _, m := range s.members {
-		m.foreign = m.view.From.Address != "" && m.view.Group != group
+		m.foreign = m.view.Group != "" && m.view.Group != group
 	}
 }
 
@@ -330,7 +333,8 @@
 		s.do(Own{WallMs: s.wallMs})
 	}
 	m.Member, m.view, m.stopping, m.refusedAt, m.lost = v.From, v, v.Stopping, time.Time{}, false
-	m.foreign = v.Group != s.group
+	// An entry that knows no workers yet may turn out to belong to this group.
+	m.foreign = v.Group != "" && v.Group != s.group
 	return m
 }
 
@@ -343,6 +347,7 @@
 	owns := v.Owner == m.Address && v.Term != 0
 	switch {
 	case owns && s.leading && !s.stopping && (v.Term < s.term || (v.Term == s.term && m.Address < s.self.Address)):
+		s.successor = m.Address
 		s.disown(now, true, "an older owner was found")
 		s.follow(now, m.Address, "an older owner was found")
 	case owns && !s.leading && (s.owner == "" || s.owner == s.self.Address):
@@ -379,7 +384,8 @@
 func (s *State) own(now time.Time, contested bool, reason string) {
 	s.leading, s.successor, s.ownedAt, s.contested = true, "", now, contested
 	s.term = max(s.wallMs, 1)
-	s.do(Own{WallMs: s.wallMs, Contested: contested})
+	heard, known := s.count(now)
+	s.do(Own{WallMs: s.wallMs, Contested: contested, Heard: heard, Known: known})
 	s.follow(now, s.self.Address, reason)
 }
 
@@ -407,7 +413,9 @@
 	heard, all := s.count(now)
 	// The others call a new owner only after they have heard of it.
 	fresh := !s.contested && now.Sub(s.ownedAt) < hearFor
-	if fresh || (2*heard >= all && heard > 1) {
+	// Of two halves only the one with the former owner claims back.
+	most := 2*heard > all || (2*heard == all && !s.contested)
+	if fresh || (most && heard > 1) {
 		if now.Sub(s.reclaimedAt) >= reclaimEvery {
 			s.reclaimedAt = now
 			s.do(Own{WallMs: s.wallMs})
@@ -485,7 +493,7 @@
 	}
 	for _, m := range s.members {
 		at := m.heardAt()
-		if m.foreign || m.stopping || at.IsZero() || now.Sub(at) > hearFor {
+		if m.view.Group != s.group || m.stopping || at.IsZero() || now.Sub(at) > hearFor {
 			continue
 		}
 		if best.Address == "" || m.before(best) {
--- a/entry/elector/elector_test.go
+++ b/entry/elector/elector_test.go
@@ -87,11 +87,11 @@
 	if older.state.View(n.now).Term > younger.state.View(n.now).Term {
 		older, younger = younger, older
 	}
-	owns := older.owns
+	owns, moved := older.owns, younger.moved
 	n.heal()
 	n.run(2 * time.Second)
-	if younger.moved != 1 || older.owns <= owns {
-		t.Errorf("the younger owner moved its jobs %d times, the older one claimed %d times, want once each at least", younger.moved, older.owns-owns)
+	if younger.moved != moved+1 || older.owns <= owns {
+		t.Errorf("the younger owner moved its jobs %d times, the older one claimed %d times, want once each at least", younger.moved-moved, older.owns-owns)
 	}
 	n.checkOneOwner(t, all(n)...)
 	if owners := n.owners(); len(owners) != 1 {
@@ -148,6 +148,29 @@
 	}
 }
 
+// Guards against two halves that take the workers from each other for as long
+// as they are cut off.
+func TestHalves(t *testing.T) {
+	n := newNetwork(9, 8)
+	n.run(5 * time.Second)
+	former := n.checkOneOwner(t, all(n)...)
+	n.separate(former, (former+1)%8, (former+2)%8, (former+3)%8)
+	n.run(1500 * time.Millisecond)
+	owners := n.owners()
+	if len(owners) != 2 {
+		t.Fatalf("owners are %v, want one in each half", owners)
+	}
+	for _, i := range owners {
+		if i != former && !n.entries[i].contested {
+			t.Errorf("half of the entries claim all workers at once")
+		}
+		n.tell(i, elector.Deposed{})
+	}
+	if owners = n.owners(); len(owners) != 1 || owners[0] != former {
+		t.Errorf("owners are %v once they have met at the workers, want %d", owners, former)
+	}
+}
+
 // Guards against a planned stop that leaves the workers without an owner.
 func TestDrain(t *testing.T) {
 	n := newNetwork(6, 8)
--- a/entry/elector/network_test.go
+++ b/entry/elector/network_test.go
@@ -61,7 +61,13 @@
 		all = append(all, address(k))
 	}
 	n.tell(i, elector.Known{Addresses: all})
-	n.tell(i, elector.Grouped{Group: "all"})
+	// Entries learn their group with the list of workers, some sooner.
+	state := e.state
+	n.after(time.Duration(n.random.Intn(100))*time.Millisecond, func() {
+		if e.state == state {
+			n.tell(i, elector.Grouped{Group: "all"})
+		}
+	})
 	n.tick(i, e.state)
 }
 
--- a/entry/placer/policy_test.go
+++ b/entry/placer/policy_test.go
@@ -82,8 +82,8 @@
 	})
 }
 
-func newOwnedSimulation(seed int64, machines int) *simulation {
-	s := newSimulation(seed, machines, 1)
+func newOwnedSimulation(seed int64) *simulation {
+	s := newSimulation(seed, 48, 1)
 	s.tell(s.owners[0], placer.Claim{WallMs: 1_700_000_000_000})
 	s.run(100 * time.Millisecond)
 	return s
@@ -101,7 +101,7 @@
 // Guards against narrow jobs that take each free place before a wide one: wide
 // jobs came first in priority and were served less than any other.
 func TestWideJobsGetTheirShare(t *testing.T) {
-	s := newOwnedSimulation(1, 48)
+	s := newOwnedSimulation(1)
 	got := s.replay(mixedLoad, 3.5, 15*time.Second)
 	s.checkFaultless(t)
 	for queue, o := range got {
@@ -117,7 +117,7 @@
 
 // Guards against refusals at an ordinary load.
 func TestOrdinaryLoadIsServed(t *testing.T) {
-	s := newOwnedSimulation(2, 48)
+	s := newOwnedSimulation(2)
 	for queue, o := range s.replay(mixedLoad, 1, 10*time.Second) {
 		if o.share() < 0.97 {
 			t.Errorf("%s: %d of %d in time, %d refused", queue, o.inTime, o.jobs, o.refused)
@@ -129,7 +129,7 @@
 // Guards against jobs that are held until nobody wants their answer: what can't
 // be in time is refused within half of the objective.
 func TestRefusedOnArrival(t *testing.T) {
-	s := newOwnedSimulation(3, 48)
+	s := newOwnedSimulation(3)
 	got := s.replay(mixedLoad, 5, 10*time.Second)
 	s.checkFaultless(t)
 	for queue, limit := range map[string]time.Duration{"wide": 78 * time.Millisecond, "narrow": 190 * time.Millisecond, "long": 750 * time.Millisecond} {
@@ -142,7 +142,7 @@
 // Guards against a worker that fails all it starts, is always empty, and draws
 // the tasks of every job.
 func TestFailingWorkerIsBenched(t *testing.T) {
-	s := newOwnedSimulation(4, 48)
+	s := newOwnedSimulation(4)
 	s.machines[0].FailsAll, s.machines[1].FailsAll = true, true
 	s.run(time.Second)
 	got := s.replay(mixedLoad, 1, 10*time.Second)
@@ -166,7 +166,7 @@
 // Guards against jobs that are late because one of their tasks is on a worker
 // that has become slow.
 func TestSlowWorkerComesLast(t *testing.T) {
-	s := newOwnedSimulation(5, 48)
+	s := newOwnedSimulation(5)
 	for _, m := range s.machines[:5] {
 		m.Slowness = 6
 	}
--- a/entry/relayer/relayer.go
+++ b/entry/relayer/relayer.go
@@ -261,6 +261,7 @@
 	case elector.Ping:
 		go r.ping(cmd.Address)
 	case elector.Own:
+		r.Log.WithFields(logrus.Fields{"heard": cmd.Heard, "known": cmd.Known, "contested": cmd.Contested}).Info("elector: claiming the workers")
 		r.handle(now, placer.Claim{WallMs: cmd.WallMs, Above: r.fence.Load(), Contested: cmd.Contested})
 		r.learnFence(r.placer.Fence())
 	case elector.Disown:
