elector: a new owner calls all entries at once

Entries learn their workers at different moments of the start; one that knew them first became owner, and the next one too, until they met a second later. TestStart failed with entries that are grouped within 100 ms.

--- a/entry/elector/elector.go
+++ b/entry/elector/elector.go
@@ -387,6 +387,10 @@
 	heard, known := s.count(now)
 	s.do(Own{WallMs: s.wallMs, Contested: contested, Heard: heard, Known: known})
 	s.follow(now, s.self.Address, reason)
+	// Entries that are about to become owners too learn of this one.
+	for _, a := range s.addresses() {
+		s.ping(now, s.members[a], 0)
+	}
 }
 
 func (s *State) unanswered(now time.Time, msg Unanswered) {
--- a/entry/elector/network_test.go
+++ b/entry/elector/network_test.go
@@ -62,13 +62,21 @@
 	}
 	n.tell(i, elector.Known{Addresses: all})
 	// Entries learn their group with the list of workers, some sooner.
-	state := e.state
+	n.group(i, e.state)
+	n.tick(i, e.state)
+}
+
+func (n *network) group(i int, of *elector.State) {
 	n.after(time.Duration(n.random.Intn(100))*time.Millisecond, func() {
-		if e.state == state {
+		e := n.entries[i]
+		switch {
+		case e.state != of:
+		case e.frozen:
+			n.group(i, of)
+		default:
 			n.tell(i, elector.Grouped{Group: "all"})
 		}
 	})
-	n.tick(i, e.state)
 }
 
 func address(i int) string { return fmt.Sprintf("10.0.0.%02d:7000", i) }
