--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -56,8 +56,7 @@
 func deploy(t *testing.T, program string, entries, workers int) *deployment {
 	d := &deployment{t: t, program: program, folder: t.TempDir(), network: forwarder.New(func(net.Conn) string { return "entry" })}
 	t.Cleanup(d.network.Close)
-	d.store.Put("keyed.op", "config", fmt.Appendf(nil, `{"Version":1,"Routes":[{"Name":"q","Host":%q,"Prefix":%q,"TargetLatencyMs":60,
-		"Service":"router","MaxAttempts":3,"Stretch":1.6}]}`, host, prefix))
+	d.store.Put("keyed.op", "config", listener.Configuration(1, host, prefix, "router"))
 	for i := range workers {
 		w := d.fleet.Add(fmt.Sprintf("w%d", i), 64000)
 		address := d.forward(w.ID, w.Handler())
@@ -68,19 +67,7 @@
 	block := 1 + os.Getpid()%250
 	for i := range entries {
 		p := &process{index: i, address: fmt.Sprintf("127.77.%d.%d", block, i+1), settings: filepath.Join(d.folder, fmt.Sprintf("entry-%d.toml", i))}
-		text := fmt.Sprintf(`NodeName = "entry-%d"
-Zone = "patan"
-Ip = %q
-PortRange = [7720, 7735]
-Seeds = ["127.77.%d.1:8166"]
-[ListenAddrs]
-Front = "%s:8161"
-ReadyAddr = "%s:8167"
-[Limits]
-MemoryMb = 200
-[platform]
-Address = %q
-`, i, p.address, block, p.address, p.address, d.forward(storeOf(i), d.store.Handler()))
+		text := listener.Settings(fmt.Sprintf("entry-%d", i), p.address, fmt.Sprintf("127.77.%d.1", block), d.forward(storeOf(i), d.store.Handler()))
 		if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand"
@@ -201,18 +200,7 @@
 }
 
 func send(ctx context.Context, client *http.Client, address, id string, tasks int, work listener.Work) (int, error) {
-	spec, err := json.Marshal(work)
-	if err != nil {
-		return 0, err
-	}
-	body, err := json.Marshal(map[string]any{
-		"Spec": string(spec), "Opportunistic": true,
-		"Steps": []map[string]any{{"Count": tasks, "Cpu": work.CPU, "MemMb": 64, "EstimateMs": work.WorkMs}},
-	})
-	if err != nil {
-		return 0, err
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+":8161"+prefix+id, strings.NewReader(string(body)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+":8161"+prefix+id, strings.NewReader(listener.JobBody(tasks, work)))
 	if err != nil {
 		return 0, err
 	}
--- /dev/null
+++ b/standin/fleet/listener/caller.go
@@ -0,0 +1,41 @@
+package listener
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Configuration is the operators' record of one queue in the store.
+func Configuration(version int, host, prefix, service string) []byte {
+	return fmt.Appendf(nil, `{"Version":%d,"Routes":[{"Name":"q","Host":%q,"Prefix":%q,"TimeoutMs":1500,"TargetLatencyMs":60,
+		"Priority":0,"Service":%q,"MaxAttempts":3,"Stretch":1.6}],"Services":[],"Limits":{"MaxBodyBytes":262144}}`, version, host, prefix, service)
+}
+
+// JobBody is a caller's job of n tasks that is answered when it has ended.
+func JobBody(n int, work Work) string {
+	// The types can always be encoded.
+	spec, _ := json.Marshal(work)
+	body, _ := json.Marshal(map[string]any{
+		"Spec": string(spec), "Opportunistic": true,
+		"Steps": []map[string]any{{"Count": n, "Cpu": work.CPU, "MemMb": 64, "EstimateMs": work.WorkMs}},
+	})
+	return string(body)
+}
+
+// Settings is the platform's settings file of an entry: ip is its address,
+// seed that of another entry, store the address of the store.
+func Settings(name, ip, seed, store string) string {
+	return fmt.Sprintf(`NodeName = %q
+Zone = "patan"
+Ip = %q
+PortRange = [7720, 7735]
+Seeds = ["%s:8166"]
+[ListenAddrs]
+Front = "%s:8161"
+ReadyAddr = "%s:8167"
+[Limits]
+MemoryMb = 200
+[platform]
+Address = %q
+`, name, ip, seed, ip, ip, store)
+}
