--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -117,7 +117,7 @@
 		return
 	}
 	defer out.Close()
-	cmd := exec.Command(d.program, "--settings", p.settings) //nolint:noctx // It is ended by its id.
+	cmd := exec.CommandContext(context.Background(), d.program, "--settings", p.settings)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		d.t.Error(err)
