--- /dev/null
+++ b/entry/relayer/log_test.go
@@ -0,0 +1,62 @@
+package relayer_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/godwitrelay/godwitrelay/entry/relayer"
+)
+
+// slowReader takes no line until it is opened.
+type slowReader struct {
+	open chan struct{}
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (r *slowReader) Write(p []byte) (int, error) {
+	<-r.open
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.text.Write(p)
+}
+
+// Guards against a log that blocks decisions while nobody reads it, or grows
+// without a bound, and against lines that are dropped in silence.
+func TestLogWriter(t *testing.T) {
+	out := &slowReader{open: make(chan struct{})}
+	w := relayer.NewLogWriter(out)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 10_000 {
+			if _, err := fmt.Fprintf(w, "line %d\n", i); err != nil {
+				t.Error(err)
+			}
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("writing blocks while nobody reads")
+	}
+	close(out.open)
+	w.Flush()
+	if _, err := fmt.Fprintln(w, "last"); err != nil {
+		t.Fatal(err)
+	}
+	w.Flush()
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	text := out.text.String()
+	if n := strings.Count(text, "\nline "); n > 4000 {
+		t.Errorf("%d lines were held", n)
+	}
+	if !strings.Contains(text, "lines were dropped") || !strings.Contains(text, "last\n") {
+		t.Error("the number of dropped lines, or the last line, is missing")
+	}
+}
--- /dev/null
+++ b/entry/router/router_test.go
@@ -0,0 +1,38 @@
+package router_test
+
+import (
+	"testing"
+
+	"github.com/godwitrelay/godwitrelay/entry/router"
+)
+
+// Guards against a request that goes to the queue of another host or of a
+// shorter prefix.
+func TestMatch(t *testing.T) {
+	cfg := router.Configuration{Queues: []router.Queue{
+		{Name: "all", Host: "a.example", Prefix: "/"},
+		{Name: "orders", Host: "a.example", Prefix: "/orders/"},
+		{Name: "urgent", Host: "a.example", Prefix: "/orders/urgent/"},
+		{Name: "other", Host: "b.example", Prefix: "/orders/"},
+	}}
+	for _, c := range []struct{ host, path, queue, rest string }{
+		{"a.example", "/orders/1", "orders", "1"},
+		{"a.example:8161", "/orders/1", "orders", "1"},
+		{"A.Example", "/orders/urgent/1", "urgent", "1"},
+		{"a.example", "/orders/", "orders", ""},
+		{"a.example", "/orders", "all", "orders"},
+		{"b.example", "/orders/1", "other", "1"},
+		{"b.example", "/1", "", ""},
+		{"c.example", "/orders/1", "", ""},
+		{"", "/orders/1", "", ""},
+	} {
+		q, rest := cfg.Match(c.host, c.path)
+		name := ""
+		if q != nil {
+			name = q.Name
+		}
+		if name != c.queue || rest != c.rest {
+			t.Errorf("%s%s: queue %q, rest %q, want %q, %q", c.host, c.path, name, rest, c.queue, c.rest)
+		}
+	}
+}
