placer: forget lost workers with the ownership; entries ignore unknown fields of each other

An owner that had lost workers before it gave them up did not claim them for 1.5 s when it owned them again.

--- a/entry/placer/owner.go
+++ b/entry/placer/owner.go
@@ -11,7 +11,7 @@
 func (s *State) claim(now time.Time, msg Claim) {
 	s.raiseFence(msg)
 	if !s.owning {
-		s.owning, s.contested, s.ownedAt = true, msg.Contested, now
+		s.owning, s.contested = true, msg.Contested
 		s.log("owner of the workers", map[string]any{"fence": s.fence, "contested": msg.Contested, "workers": len(s.order)})
 	}
 	s.contested = s.contested && msg.Contested
@@ -52,7 +52,7 @@
 	}
 	s.jobs, s.waiting = map[string]*job{}, nil
 	for _, w := range s.order {
-		w.phase, w.unanswered, w.holding = released, 0, false
+		w.phase, w.unanswered, w.holding, w.lost = released, 0, false, false
 		w.forget()
 	}
 	s.log("released the workers", map[string]any{"moved": msg.Moved, "reason": msg.Reason})
--- a/entry/placer/reunion_test.go
+++ b/entry/placer/reunion_test.go
@@ -8,6 +8,30 @@
 	"github.com/godwitrelay/godwitrelay/standin/fleet/executor"
 )
 
+// Guards against an owner that does not claim workers for 1.5 s because it could
+// not reach them when it was the owner before.
+func TestLostWorkersAreForgottenWithTheOwnership(t *testing.T) {
+	s := newSimulation(1, 4, 2)
+	s.reclaims = true
+	first, other := s.owners[0], s.owners[1]
+	s.tell(first, placer.Claim{WallMs: s.now.UnixMilli()})
+	s.run(100 * time.Millisecond)
+	for _, m := range s.machines {
+		m.cutFrom[first] = true
+	}
+	s.run(1500 * time.Millisecond)
+	s.tell(first, placer.Release{Reason: "another entry owns the workers"})
+	s.tell(other, placer.Claim{WallMs: s.now.UnixMilli() + 60_000})
+	s.run(200 * time.Millisecond)
+	other.dead = true
+	for _, m := range s.machines {
+		m.cutFrom = map[*owner]bool{}
+	}
+	s.tell(first, placer.Claim{WallMs: s.now.UnixMilli()})
+	s.run(1300 * time.Millisecond)
+	checkReached(t, s, first, 4)
+}
+
 // Guards against jobs that end when a partition heals: the owner outside it
 // must not take the workers back before the owner inside has handed them over,
 // and then has to go on with the jobs.
--- a/entry/placer/state.go
+++ b/entry/placer/state.go
@@ -23,7 +23,6 @@
 	// the next claim raises it, in milliseconds of the clock.
 	refused bool
 	climb   int64
-	ownedAt time.Time
 	// changed tells that jobs or room were added since the last placement.
 	changed bool
 	// awaitsUntil is when no job awaits runs of an earlier owner any more.
--- a/entry/relayer/peer.go
+++ b/entry/relayer/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"syscall"
 	"time"
@@ -116,8 +117,7 @@
 
 func (r *Relayer) serveBeat(w http.ResponseWriter, req *http.Request) {
 	var b beat
-	if err := messenger.Decode(req.Body, maxPeerBytes, &b); err != nil {
-		messenger.Reply(w, err.Status(), err)
+	if !decode(w, req, &b) {
 		return
 	}
 	r.learnFence(b.Fence)
@@ -128,8 +128,7 @@
 
 func (r *Relayer) serveJob(w http.ResponseWriter, req *http.Request) {
 	var s submission
-	if err := messenger.Decode(req.Body, maxPeerBytes, &s); err != nil {
-		messenger.Reply(w, err.Status(), err)
+	if !decode(w, req, &s) {
 		return
 	}
 	r.inFlight.Add(1)
@@ -137,3 +136,15 @@
 	result := r.ask(req.Context(), placer.Submit{Entry: s.Entry, Job: s.Job, Placements: s.Placements})
 	messenger.Reply(w, http.StatusOK, result)
 }
+
+// decode reads the body of another entry's call, or answers it as malformed.
+// Fields that this version doesn't know are ignored: entries are replaced one
+// by one.
+func decode(w http.ResponseWriter, req *http.Request, v any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxPeerBytes)).Decode(v)
+	if err != nil {
+		refusal := messenger.NewError(messenger.BadRequest, err.Error())
+		messenger.Reply(w, refusal.Status(), refusal)
+	}
+	return err == nil
+}
