elector: an entry that wakes or runs late keeps an owner that lives

Cause: an entry that stood still followed nobody after it woke, and one that was late for less than a pause took its own delay for silence of its owner.

An entry that was late now waits for the time-out of one call before silence counts; one that does not own the workers keeps its owner over a pause.

TestFollowerResumes and TestLateEntryKeepsItsOwner failed before.

--- a/entry/elector/elector.go
+++ b/entry/elector/elector.go
@@ -17,6 +17,12 @@
 	// silentFor is the time without an answer after which the owner is taken
 	// as lost. Leases of 1 s then leave time for a takeover.
 	silentFor = 450 * time.Millisecond
+	// lateFrom is the pause between two ticks, which are 20 ms apart, from which
+	// on this entry was late itself: others may have answered meanwhile.
+	lateFrom = 200 * time.Millisecond
+	// answerFor is how long an entry that was late waits before it takes others
+	// as silent: the time-out of one call.
+	answerFor = 250 * time.Millisecond
 	// hearFor is the age up to which another entry counts as heard. It is below
 	// silentFor, so that an owner that was just lost does not count.
 	hearFor = 400 * time.Millisecond
@@ -69,8 +75,11 @@
 	ownedAt     time.Time
 	contested   bool
 	reclaimedAt time.Time
-	wallMs      int64
-	cmds        []Cmd
+	tickedAt    time.Time
+	// patientUntil is when silence counts again after this entry was late.
+	patientUntil time.Time
+	wallMs       int64
+	cmds         []Cmd
 }
 
 // New returns the state of an entry that starts at now.
--- a/entry/elector/elector_test.go
+++ b/entry/elector/elector_test.go
@@ -74,6 +74,49 @@
 	}
 }
 
+// Guards against an entry that drops the jobs that it passed on, because it
+// gives up an owner that lives, when it wakes from a short pause.
+func TestFollowerResumes(t *testing.T) {
+	n := newNetwork(7, 5)
+	n.run(3 * time.Second)
+	owner := n.checkOneOwner(t, all(n)...)
+	follower := (owner + 1) % 5
+	e := n.entries[follower]
+	before := len(e.changes)
+	e.frozen = true
+	n.run(600 * time.Millisecond)
+	n.resume(follower)
+	n.run(2 * time.Second)
+	if len(e.changes) != before {
+		t.Errorf("the entry followed %q in turn, its owner lives", e.changes[before:])
+	}
+	e.frozen = true
+	n.entries[owner].down = true
+	n.run(3 * time.Second)
+	n.resume(follower)
+	n.run(300 * time.Millisecond)
+	if next := n.checkOneOwner(t, all(n)...); next == owner {
+		t.Error("the entry follows an owner that is down")
+	}
+}
+
+// Guards against an entry that takes its own delay for silence of its owner
+// when it stands still for less than counts as a pause.
+func TestLateEntryKeepsItsOwner(t *testing.T) {
+	n := newNetwork(8, 5)
+	n.run(3 * time.Second)
+	owner := n.checkOneOwner(t, all(n)...)
+	e := n.entries[(owner+1)%5]
+	before := len(e.changes)
+	e.frozen = true
+	n.run(500 * time.Millisecond)
+	e.frozen = false
+	n.run(time.Second)
+	if len(e.changes) != before {
+		t.Errorf("the entry followed %q in turn, its owner lives", e.changes[before:])
+	}
+}
+
 // Guards against a part of the network without an owner, or two owners after
 // it is whole again.
 func TestPartition(t *testing.T) {
--- a/entry/elector/network_test.go
+++ b/entry/elector/network_test.go
@@ -25,6 +25,8 @@
 	owns         int
 	moved        int
 	lost         []string
+	// changes are the owners that were followed, in order.
+	changes []string
 }
 
 // message is something that happens at a time.
@@ -139,6 +141,8 @@
 			if cmd.Moved {
 				e.moved++
 			}
+		case elector.OwnerChanged:
+			e.changes = append(e.changes, cmd.Address)
 		case elector.Lost:
 			e.lost = append(e.lost, cmd.Address)
 		}
--- a/entry/elector/owner.go
+++ b/entry/elector/owner.go
@@ -141,13 +141,16 @@
 	}
 }
 
+// resumed drops all beliefs after the process stood still. An owner gives the
+// workers up. Any other entry keeps its owner, since jobs that it passed on go
+// on there, if that owner answers at once.
 func (s *State) resumed(now time.Time) {
 	if s.leading {
 		s.disown(now, false, "the process stood still")
+		s.follow(now, "", "the process stood still")
 	}
-	s.follow(now, "", "the process stood still")
 	for _, m := range s.members {
-		m.calledAt, m.answeredAt, m.waiting = time.Time{}, time.Time{}, false
+		m.calledAt, m.answeredAt, m.pingedAt, m.waiting = time.Time{}, time.Time{}, time.Time{}, false
 	}
-	s.startedAt, s.searchSince = now, now
+	s.startedAt, s.searchSince, s.patientUntil = now, now, now.Add(answerFor)
 }
--- a/entry/elector/search.go
+++ b/entry/elector/search.go
@@ -4,6 +4,10 @@
 
 func (s *State) tick(now time.Time) {
 	s.forget(now)
+	if !s.tickedAt.IsZero() && now.Sub(s.tickedAt) >= lateFrom {
+		s.patientUntil = now.Add(answerFor)
+	}
+	s.tickedAt = now
 	switch {
 	case s.leading:
 		s.seek(now)
@@ -20,7 +24,7 @@
 func (s *State) seek(now time.Time) {
 	for _, a := range s.addresses() {
 		m := s.members[a]
-		if !m.calledAt.IsZero() && now.Sub(m.calledAt) > lostFor && !m.lost {
+		if !m.calledAt.IsZero() && now.Sub(m.calledAt) > lostFor && !m.lost && !now.Before(s.patientUntil) {
 			m.lost = true
 			s.do(Lost{Address: a})
 		}
@@ -44,7 +48,7 @@
 		s.follow(now, "", "it belongs to another group")
 		return
 	}
-	if now.Sub(m.answeredAt) > silentFor {
+	if now.Sub(m.answeredAt) > silentFor && !now.Before(s.patientUntil) {
 		s.follow(now, "", "it does not answer")
 		return
 	}
