elector: two owners that take workers from each other look for each other

Cause: an owner that was late for 0.5 s does not know that it was replaced. Ruled out: the entry that woke (it followed one owner throughout).

TestRivalsMeet failed before.

--- a/entry/elector/elector_test.go
+++ b/entry/elector/elector_test.go
@@ -117,6 +117,26 @@
 	}
 }
 
+// Guards against two owners that take workers from each other until one of
+// them calls the other by chance: an owner that was late for less than a pause
+// does not know that it was replaced.
+func TestRivalsMeet(t *testing.T) {
+	n := newNetwork(9, 6)
+	n.run(5 * time.Second)
+	first := n.checkOneOwner(t, all(n)...)
+	n.entries[first].frozen = true
+	for i := 0; i < 100 && len(n.owners()) < 2; i++ {
+		n.run(10 * time.Millisecond)
+	}
+	n.run(20 * time.Millisecond)
+	n.entries[first].frozen = false
+	n.tell(first, elector.Deposed{})
+	n.run(30 * time.Millisecond)
+	if owners := n.owners(); len(owners) != 1 {
+		t.Errorf("owners are %v 30 ms after they took workers from each other", owners)
+	}
+}
+
 // Guards against a part of the network without an owner, or two owners after
 // it is whole again.
 func TestPartition(t *testing.T) {
--- a/entry/elector/owner.go
+++ b/entry/elector/owner.go
@@ -94,6 +94,11 @@
 	if !s.leading {
 		return
 	}
+	// The two owners have to meet, or they take workers in turns until one calls
+	// the other by chance.
+	for _, a := range s.addresses() {
+		s.ping(now, s.members[a], pingEvery)
+	}
 	heard, all := s.count(now)
 	// The others call a new owner only after they have heard of it.
 	fresh := !s.contested && now.Sub(s.ownedAt) < hearFor
