elector: TestRivalsMeet plays the calls that came while the owner stood still

As committed it passed without the change that it guards: the owner heard no other entry and stepped down. It now fails without it (two owners after 30 ms).

--- a/entry/elector/elector_test.go
+++ b/entry/elector/elector_test.go
@@ -125,11 +125,21 @@
 	n.run(5 * time.Second)
 	first := n.checkOneOwner(t, all(n)...)
 	n.entries[first].frozen = true
+	var calls []elector.Called
+	for i, e := range n.entries {
+		if i != first {
+			calls = append(calls, elector.Called{View: e.state.View(n.now)})
+		}
+	}
 	for i := 0; i < 100 && len(n.owners()) < 2; i++ {
 		n.run(10 * time.Millisecond)
 	}
 	n.run(20 * time.Millisecond)
 	n.entries[first].frozen = false
+	// Calls that came while it stood still are handled first.
+	for _, c := range calls {
+		n.tell(first, c)
+	}
 	n.tell(first, elector.Deposed{})
 	n.run(30 * time.Millisecond)
 	if owners := n.owners(); len(owners) != 1 {
