placer, relayer: jobs go on after the loss of their owner

A job goes on if workers list a run, or its end, for each of its tasks, on lists asked for after the change; no task starts again unless its run is known to have ended.

Tried: a worker's last list taken as complete. TestInvariants showed two runs of a task at once: a rival may have had the worker since. The same for a run that is being stopped, and for jobs that move again before their runs are found.

--- a/entry/elector/owner.go
+++ b/entry/elector/owner.go
@@ -112,7 +112,7 @@
 		return
 	}
 	s.deposedAt = now
-	s.disown(now, false, "another entry owns the workers")
+	s.disown(now, true, "another entry owns the workers")
 	s.follow(now, "", "another entry owns the workers")
 }
 
--- a/entry/placer/invariant_test.go
+++ b/entry/placer/invariant_test.go
@@ -90,7 +90,7 @@
 			}
 			wall += 1000
 			s.current = next
-			s.changeOwner(current, next, wall, r.Intn(3))
+			s.changeOwner(current, next, wall, r.Intn(4))
 			current = next
 		}
 	}
@@ -100,7 +100,8 @@
 }
 
 // changeOwner moves the workers from one owner to another: in good order, by a
-// claim while the old owner goes on, or with a pause between.
+// claim while the old owner goes on, with a pause between, or after the old
+// owner ended and its jobs have no answer.
 func (s *simulation) changeOwner(from, to *owner, wall int64, how int) {
 	switch how {
 	case 0:
@@ -114,6 +115,12 @@
 				s.tell(from, placer.Release{Reason: "another entry owns the workers"})
 			}
 		})
+	case 2:
+		from.state = placer.New(uint64(s.random.Int63()))
+		s.tell(from, placer.Listed{Workers: s.list()})
+		s.run(time.Duration(s.random.Intn(600)) * time.Millisecond)
+		s.tell(to, placer.Claim{WallMs: wall})
+		s.recover(to)
 	default:
 		s.tell(from, placer.Release{Reason: "the process stood still"})
 		s.run(100 * time.Millisecond)
@@ -131,6 +138,16 @@
 	}
 }
 
+// recover hands jobs without an answer to an owner that does not know their
+// runs.
+func (s *simulation) recover(to *owner) {
+	for _, id := range sortedIDs(s.jobs) {
+		if j := s.jobs[id]; len(j.answers) == 0 || j.answers[len(j.answers)-1].Moved {
+			s.submit(to, j.job, j.task, placer.Unknown(j.job.Tasks, nil)...)
+		}
+	}
+}
+
 // checkQuiet checks what must hold once nothing is submitted any more.
 func (s *simulation) checkQuiet(t *testing.T, current *owner) {
 	t.Helper()
--- a/entry/placer/job.go
+++ b/entry/placer/job.go
@@ -38,9 +38,13 @@
 	number int64
 	worker string
 	run    *run
-	// awaits names a run under an earlier owner that its worker has not listed.
+	// awaits names a run under an earlier owner that no worker has listed yet;
+	// number 0 stands for any run of the task.
 	awaits    *RunKey
 	awaitFrom time.Time
+	// rival tells that another owner had the worker of the awaited run, which
+	// may be done although no worker lists it.
+	rival bool
 }
 
 // job is a job between its submission and its answer.
@@ -76,7 +80,7 @@
 	var list []Placement
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		if t.done || t.number > 0 {
+		if t.done || t.number > 0 || t.awaits != nil {
 			list = append(list, Placement{Task: i, Worker: t.worker, Number: t.number, Done: t.done})
 		}
 	}
--- a/entry/placer/message.go
+++ b/entry/placer/message.go
@@ -204,11 +204,27 @@
 	return r.Err.Message
 }
 
-// Placement is the last start of a task under an owner that gave the job up
-// in good order.
+// Placement is the last start of a task under an earlier owner. Number 0 tells
+// that it is not known, since that owner was lost: the job goes on if workers
+// list a run of each such task.
 type Placement struct {
 	Task   int    `json:"task"`
 	Worker string `json:"worker"`
 	Number int64  `json:"number"`
 	Done   bool   `json:"done,omitempty"`
 }
+
+// Unknown returns the placements of a job of n tasks whose owner was lost, given
+// those that were known before.
+func Unknown(n int, known []Placement) []Placement {
+	list := make([]Placement, n)
+	for i := range list {
+		list[i].Task = i
+	}
+	for _, p := range known {
+		if p.Done && p.Task >= 0 && p.Task < n {
+			list[p.Task] = p
+		}
+	}
+	return list
+}
--- a/entry/placer/owner.go
+++ b/entry/placer/owner.go
@@ -177,7 +177,7 @@
 	s.log("another owner took a worker", map[string]any{"worker": w.ID, "fence": w.fence, "unanswered": w.unanswered})
 	s.do(Count{"worker", "fenced"})
 	s.refused = true
-	s.loseRuns(now, w, "another entry took the worker over")
+	s.awaitRuns(now, w)
 	if w.lost {
 		// The worker was out of reach, and an owner on its side of a partition
 		// serves it. That one yields in good order when the entries meet; a
@@ -248,6 +248,19 @@
 	}
 }
 
+// awaitRuns has the jobs with runs on a worker that another owner took wait for
+// them: of two owners one yields within moments, and the runs go on.
+func (s *State) awaitRuns(now time.Time, w *worker) {
+	for _, r := range sortedRuns(w) {
+		if r.job == nil {
+			continue
+		}
+		t := &r.job.tasks[r.task]
+		t.run, t.awaits, t.awaitFrom, t.rival = nil, &RunKey{r.key.Task, r.key.Number}, now, true
+		s.awaitsUntil = now.Add(2 * adoptFor)
+	}
+}
+
 // loseRuns ends the jobs with runs on a worker that is out of control. The runs
 // stay known, to be stopped when the worker answers.
 func (s *State) loseRuns(now time.Time, w *worker, reason string) {
--- a/entry/placer/reunion_test.go
+++ b/entry/placer/reunion_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/godwitrelay/godwitrelay/core/messenger"
 	"github.com/godwitrelay/godwitrelay/entry/placer"
 	"github.com/godwitrelay/godwitrelay/standin/fleet/executor"
 )
@@ -70,3 +71,80 @@
 		t.Errorf("answers %+v after %d starts, want a completed job after 2", j.answers, s.started)
 	}
 }
+
+// Guards against jobs that end with their owner although their runs go on, and
+// against a second run of their tasks.
+func TestJobsSurviveTheirOwner(t *testing.T) {
+	s := newSimulation(1, 4, 2)
+	first, next := s.owners[0], s.owners[1]
+	s.tell(first, placer.Claim{WallMs: s.now.UnixMilli()})
+	s.run(100 * time.Millisecond)
+	j := s.submit(first, job("j0000", 3, 27000, 900), executor.Task{CPU: 27000, Work: 900 * time.Millisecond})
+	ended := s.submit(first, job("j0001", 1, 27000, 300), executor.Task{CPU: 27000, Work: 300 * time.Millisecond})
+	s.run(200 * time.Millisecond)
+	first.dead = true
+	s.run(500 * time.Millisecond)
+	s.tell(next, placer.Claim{WallMs: s.now.UnixMilli()})
+	for _, id := range []*submitted{j, ended} {
+		s.submit(next, id.job, id.task, placer.Unknown(id.job.Tasks, nil)...)
+	}
+	s.run(600 * time.Millisecond)
+	for _, id := range []*submitted{j, ended} {
+		if len(id.answers) != 1 || !id.answers[0].Completed {
+			t.Errorf("job %s: answers %+v, want completed", id.job.ID, id.answers)
+		}
+	}
+	if s.started != 4 {
+		t.Errorf("%d runs were started for 4 tasks", s.started)
+	}
+}
+
+// Guards against a caller that waits for a job that can't go on after the loss
+// of its owner, against a second run of a task that may be done, and against
+// runs that stay at work without a job.
+func TestJobsThatCannotSurviveEndAtOnce(t *testing.T) {
+	s := newSimulation(1, 4, 2)
+	first, next := s.owners[0], s.owners[1]
+	s.tell(first, placer.Claim{WallMs: s.now.UnixMilli()})
+	s.run(100 * time.Millisecond)
+	s.submit(first, job("j0000", 2, 27000, 900), executor.Task{CPU: 27000, Work: 900 * time.Millisecond})
+	s.run(100 * time.Millisecond)
+	first.dead = true
+	s.run(100 * time.Millisecond)
+	s.tell(next, placer.Claim{WallMs: s.now.UnixMilli()})
+	// One more task than workers run: its run may be done.
+	j := s.submit(next, job("j0000", 3, 27000, 900), executor.Task{CPU: 27000, Work: 900 * time.Millisecond}, placer.Unknown(3, nil)...)
+	s.run(100 * time.Millisecond)
+	s.checkAnswer(t, j, messenger.MayHaveRun)
+	for _, m := range s.machines {
+		if runs := m.Runs(s.now); len(runs) > 0 {
+			t.Errorf("worker %s still runs %v", m.id, runs)
+		}
+	}
+	if s.started != 2 {
+		t.Errorf("%d runs were started for 2 tasks", s.started)
+	}
+}
+
+// Guards against jobs that end because a rival owner took their workers for a
+// moment before it yielded.
+func TestJobsSurviveARival(t *testing.T) {
+	s := newSimulation(1, 4, 2)
+	s.reclaims = true
+	first, rival := s.owners[0], s.owners[1]
+	s.current = first
+	s.tell(first, placer.Claim{WallMs: s.now.UnixMilli()})
+	s.run(100 * time.Millisecond)
+	j := s.submit(first, job("j0000", 3, 27000, 900), executor.Task{CPU: 27000, Work: 900 * time.Millisecond})
+	s.run(200 * time.Millisecond)
+	s.tell(rival, placer.Claim{WallMs: s.now.UnixMilli() + 60_000})
+	s.run(30 * time.Millisecond)
+	s.tell(rival, placer.Release{Moved: true, Reason: "an older owner was found"})
+	s.run(time.Second)
+	if len(j.answers) != 1 || !j.answers[0].Completed {
+		t.Errorf("answers %+v, want completed", j.answers)
+	}
+	if s.started != 3 {
+		t.Errorf("%d runs were started for 3 tasks", s.started)
+	}
+}
--- a/entry/placer/run.go
+++ b/entry/placer/run.go
@@ -33,7 +33,9 @@
 	// expected is the expected run time.
 	expected time.Duration
 	since    time.Time
-	percent  int
+	// adopted runs began under an earlier owner, so their run time is unknown.
+	adopted bool
+	percent int
 	// progressAt is when percent last changed.
 	progressAt time.Time
 	stopSent   time.Time
--- a/entry/placer/runs.go
+++ b/entry/placer/runs.go
@@ -65,7 +65,7 @@
 		s.fail(now, j, messenger.NeverRunnable, "a worker refused the order as malformed")
 		return
 	}
-	s.requeue(now, j)
+	s.requeue(j)
 }
 
 // reconcile brings the known runs of a worker in line with its lists.
@@ -98,7 +98,8 @@
 		w.drop(r)
 		s.ended(now, w, r, EndLapsed)
 	}
-	s.adoptAwaited(now, w)
+	w.listedAt = msg.Sent
+	s.adoptAwaited(now, w, msg.Sent)
 }
 
 // confirmed tells whether the stop of r was confirmed before t.
@@ -132,8 +133,10 @@
 	switch how {
 	case EndDone:
 		w.health.succeeded()
-		w.speed.observe(now, now.Sub(r.since), s.times.expect(j))
-		s.times.done(j, now.Sub(r.since))
+		if !r.adopted {
+			w.speed.observe(now, now.Sub(r.since), s.times.expect(j))
+			s.times.done(j, now.Sub(r.since))
+		}
 		t.done = true
 		j.left--
 		if j.left == 0 {
@@ -155,7 +158,7 @@
 		s.do(Count{"retry", string(how)})
 		s.log("run ended early", map[string]any{"task": r.key.Task, "run": r.key.Number, "worker": w.ID, "how": string(how), "ranMs": now.Sub(r.since).Milliseconds()})
 	}
-	s.requeue(now, j)
+	s.requeue(j)
 }
 
 // stop stops a run whose result is not wanted.
--- a/entry/placer/submit.go
+++ b/entry/placer/submit.go
@@ -44,9 +44,11 @@
 		}
 		t := &j.tasks[p.Task]
 		t.worker, t.number = p.Worker, p.Number
-		if p.Done {
+		if p.Done && !t.done {
 			t.done = true
 			j.left--
+		}
+		if t.done {
 			continue
 		}
 		t.awaits, t.awaitFrom = &RunKey{j.taskName(p.Task), p.Number}, now
@@ -57,40 +59,33 @@
 		return
 	}
 	for _, w := range s.order {
-		if w.phase == owned {
-			s.adoptAwaited(now, w)
+		if w.phase == owned && j.awaitsOn(w) {
+			s.adoptAwaited(now, w, time.Time{})
+			if now.Sub(w.lookedAt) >= lookEvery {
+				s.look(now, w)
+			}
 		}
 	}
-	s.requeue(now, j)
+	if s.jobs[j.ID] == j {
+		s.requeue(j)
+	}
 }
 
-// adoptAwaited gives runs found on a worker to the jobs that await them.
-func (s *State) adoptAwaited(now time.Time, w *worker) {
+// adoptAwaited gives runs found on a worker to the jobs that await them. asked
+// is when the worker was asked for its lists. If that is after a job began to
+// wait, its earlier owner can start no run on the worker any more, and an
+// awaited run that is not listed has ended.
+func (s *State) adoptAwaited(now time.Time, w *worker, asked time.Time) {
 	if now.After(s.awaitsUntil) {
 		return
 	}
 	for _, j := range s.sortedJobs() {
 		for i := range j.tasks {
 			t := &j.tasks[i]
-			if t.awaits == nil || t.worker != w.ID {
-				continue
-			}
-			key := *t.awaits
-			if r := w.runs[key]; r != nil && r.job == nil && r.state == running {
-				w.used = w.used.Sub(r.room).Add(j.Room)
-				r.job, r.task, r.room, r.expected = j, i, j.Room, s.times.expect(j)
-				t.run, t.awaits = r, nil
-				continue
-			}
-			end, ok := w.ends[key]
-			if !ok {
+			if t.awaits == nil || (t.awaits.Number != 0 && t.worker != w.ID) {
 				continue
 			}
-			delete(w.ends, key)
-			t.awaits = nil
-			r := &run{key: key, job: j, task: i, since: now}
-			t.run = r
-			s.ended(now, w, r, end.how)
+			s.adoptTask(now, w, j, i, !asked.Before(t.awaitFrom))
 			if s.jobs[j.ID] != j {
 				break
 			}
@@ -98,24 +93,103 @@
 	}
 }
 
-// expireAwaited gives up runs of an earlier owner that no worker listed in
-// time.
-func (s *State) expireAwaited(now time.Time, j *job) {
+// adoptTask looks for the awaited run of a task on a worker. complete tells
+// whether the lists of the worker name it if it exists.
+func (s *State) adoptTask(now time.Time, w *worker, j *job, i int, complete bool) {
+	t := &j.tasks[i]
+	if r := w.awaitedRun(*t.awaits); r != nil {
+		w.used = w.used.Sub(r.room).Add(j.Room)
+		r.job, r.task, r.room, r.expected, r.adopted = j, i, j.Room, s.times.expect(j), true
+		t.run, t.awaits, t.worker, t.number = r, nil, w.ID, r.key.Number
+		return
+	}
+	key, end, ok := w.awaitedEnd(*t.awaits)
+	switch {
+	case ok:
+		delete(w.ends, key)
+		r := &run{key: key, job: j, task: i, since: now, adopted: true}
+		t.run, t.awaits, t.worker, t.number = r, nil, w.ID, key.Number
+		s.ended(now, w, r, end.how)
+	case !complete || w.runs[*t.awaits] != nil:
+		// Unknown yet, or being stopped and perhaps still at work.
+	case t.rival:
+		s.fail(now, j, messenger.TargetLost, "a run ended while another entry owned its worker")
+	case t.awaits.Number != 0:
+		t.awaits = nil
+		s.do(Count{"retry", "notListed"})
+		s.requeue(j)
+	}
+}
+
+// awaitsOn tells whether a task of j awaits a run on w, or on any worker.
+func (j *job) awaitsOn(w *worker) bool {
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		if t.awaits == nil || now.Sub(t.awaitFrom) < adoptFor {
-			continue
+		if t.awaits != nil && (t.awaits.Number == 0 || t.worker == w.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitedRun returns the run under key that has no job, or nil. Number 0
+// stands for any.
+func (w *worker) awaitedRun(key RunKey) *run {
+	for _, r := range sortedRuns(w) {
+		if r.key.Task == key.Task && (key.Number == 0 || r.key.Number == key.Number) && r.job == nil && r.state == running {
+			return r
 		}
-		w := s.workers[t.worker]
-		if w == nil || !w.reachable(now) {
+	}
+	return nil
+}
+
+// awaitedEnd returns the end of the run under key. Number 0 stands for any
+// number, but only a run that is done ends the search for its task: after
+// another end the task may have been started again elsewhere.
+func (w *worker) awaitedEnd(key RunKey) (RunKey, endRecord, bool) {
+	if key.Number != 0 {
+		end, ok := w.ends[key]
+		return key, end, ok
+	}
+	for k, end := range w.ends {
+		if k.Task == key.Task && end.how == EndDone {
+			return k, end, true
+		}
+	}
+	return key, endRecord{}, false
+}
+
+// expireAwaited gives up a job whose runs under an earlier owner no worker has
+// listed in time, or can list any more.
+func (s *State) expireAwaited(now time.Time, j *job) {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		switch {
+		case t.awaits == nil:
+		case t.awaits.Number == 0 && s.allListed(j, t.awaitFrom):
+			s.fail(now, j, messenger.TargetLost, "not all runs of the job are known after the loss of their owner")
+			return
+		case now.Sub(t.awaitFrom) >= adoptFor && t.awaits.Number == 0:
+			s.fail(now, j, messenger.TargetLost, "workers that may run the job do not answer after the loss of its owner")
+			return
+		case now.Sub(t.awaitFrom) >= adoptFor:
 			s.fail(now, j, messenger.TargetLost, "the worker of an earlier owner's run does not answer")
 			return
 		}
-		t.awaits = nil
-		s.requeue(now, j)
 	}
 }
 
+// allListed tells whether every worker that may run tasks of j has listed its
+// runs to this owner since the given time.
+func (s *State) allListed(j *job, since time.Time) bool {
+	for _, w := range s.order {
+		if suits(w, j) && (w.phase != owned || w.listedAt.Before(since)) {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *State) cancel(now time.Time, msg Cancel) {
 	j := s.jobs[msg.JobID]
 	if j == nil || (msg.Waiter != 0 && j.waiter != msg.Waiter) {
@@ -177,7 +251,7 @@
 }
 
 // requeue puts a job with tasks to start back into the queue.
-func (s *State) requeue(_ time.Time, j *job) {
+func (s *State) requeue(j *job) {
 	for _, o := range s.waiting {
 		if o == j {
 			return
--- a/entry/placer/worker.go
+++ b/entry/placer/worker.go
@@ -66,6 +66,8 @@
 	lastEnd    int64
 	holding    bool
 	answeredAt time.Time
+	// listedAt is when the worker was last asked for lists that it gave.
+	listedAt   time.Time
 	lookedAt   time.Time
 	unanswered int
 	// lost is set once the runs of a silent worker were given up.
--- a/entry/relayer/peer.go
+++ b/entry/relayer/peer.go
@@ -133,7 +133,7 @@
 	}
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
-	result := r.ask(req.Context(), placer.Submit{Entry: s.Entry, Job: s.Job, Placements: s.Placements})
+	result := r.ask(req.Context(), placer.Submit{Entry: s.Entry, Job: s.Job, Placements: s.Placements}, brokenGrace)
 	messenger.Reply(w, http.StatusOK, result)
 }
 
