placer: a refused job counts once

Cause: the owner and the entry of the caller both counted it, so the sum of godwitrelay_refusals_total over the entries was up to twice the number of jobs. TestRefusalCountsOnce failed before (6 for 3 jobs).

--- a/entry/placer/owner.go
+++ b/entry/placer/owner.go
@@ -45,7 +45,7 @@
 	s.owning = false
 	for _, j := range s.sortedJobs() {
 		if msg.Moved {
-			s.answer(j, Result{Moved: true, Placements: j.placements()})
+			s.do(Answer{j.waiter, Result{Moved: true, Placements: j.placements()}})
 		} else {
 			s.abandon(j, messenger.TargetLost, msg.Reason)
 		}
@@ -63,7 +63,7 @@
 	if !j.offered {
 		kind = messenger.NoTarget
 	}
-	s.answer(j, Result{Err: messenger.NewError(kind, reason)})
+	s.do(Answer{j.waiter, Result{Err: messenger.NewError(kind, reason)}})
 }
 
 // holdAll sends a hold to every worker that is due for one.
--- a/entry/placer/submit.go
+++ b/entry/placer/submit.go
@@ -236,20 +236,13 @@
 			}
 		}
 	}
-	s.answer(j, result)
+	s.do(Answer{j.waiter, result})
 	s.log("job ended", map[string]any{
 		"job": j.ID, "queue": j.Queue, "entry": j.entry, "outcome": result.Outcome(), "reason": result.reason(), "offered": j.offered,
 		"tasks": len(j.tasks), "left": j.left, "ageMs": now.Sub(j.arrived).Milliseconds(),
 	})
 }
 
-func (s *State) answer(j *job, result Result) {
-	if result.Err != nil {
-		s.do(Count{"refusal", string(result.Err.Kind)})
-	}
-	s.do(Answer{j.waiter, result})
-}
-
 // requeue puts a job with tasks to start back into the queue.
 func (s *State) requeue(j *job) {
 	for _, o := range s.waiting {
