--- /dev/null
+++ b/entry/relayer/submit_test.go
@@ -0,0 +1,166 @@
+package relayer_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/godwitrelay/godwitrelay/core/messenger"
+	"github.com/godwitrelay/godwitrelay/entry/elector"
+	"github.com/godwitrelay/godwitrelay/entry/exporter"
+	"github.com/godwitrelay/godwitrelay/entry/placer"
+	"github.com/godwitrelay/godwitrelay/entry/relayer"
+	"github.com/godwitrelay/godwitrelay/entry/router"
+)
+
+// silentWorkers answers no order.
+type silentWorkers struct{}
+
+func (silentWorkers) Hold(cmd placer.Hold) placer.Held {
+	return placer.Held{Worker: cmd.Worker, Fence: cmd.Fence, Result: placer.HoldNoAnswer, Sent: cmd.Sent}
+}
+
+func (silentWorkers) Start(cmd placer.Start) placer.Started {
+	return placer.Started{Worker: cmd.Worker, Fence: cmd.Fence, Key: cmd.Key, Result: placer.StartNoAnswer}
+}
+
+func (silentWorkers) Stop(cmd placer.Stop) placer.Stopped {
+	return placer.Stopped{Worker: cmd.Worker, Key: cmd.Key}
+}
+
+// fixedStore knows one worker.
+type fixedStore struct{}
+
+func (fixedStore) Configuration(context.Context) (router.Configuration, error) {
+	return router.Configuration{Version: 1}, nil
+}
+
+func (fixedStore) Workers(context.Context) ([]placer.Worker, error) {
+	return []placer.Worker{{ID: "w0", Address: "127.0.0.1:9", FailureDomain: "patan", Service: "router"}}, nil
+}
+
+func (fixedStore) Announce(context.Context, elector.Member) error { return nil }
+
+func (fixedStore) Members(context.Context) ([]elector.Member, error) { return nil, nil }
+
+// scriptedOwner is an owner of the workers that answers jobs from a list; the
+// last answer repeats. An empty one breaks the connection.
+type scriptedOwner struct {
+	address string
+	mu      sync.Mutex
+	answers []placer.Result
+	// asked are the placements of each job that came.
+	asked [][]placer.Placement
+}
+
+func (o *scriptedOwner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if strings.HasSuffix(req.URL.Path, "/beat") {
+		view := elector.View{From: elector.Member{Address: o.address, CPU: 9}, Group: "all", Owner: o.address, Term: 1}
+		messenger.Reply(w, http.StatusOK, map[string]any{"view": view})
+		return
+	}
+	var body struct {
+		Placements []placer.Placement `json:"placements"`
+	}
+	if err := json.NewDecoder(req.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	o.mu.Lock()
+	o.asked = append(o.asked, body.Placements)
+	answer := o.answers[0]
+	if len(o.answers) > 1 {
+		o.answers = o.answers[1:]
+	}
+	o.mu.Unlock()
+	if answer.Outcome() == "none" {
+		panic(http.ErrAbortHandler)
+	}
+	messenger.Reply(w, http.StatusOK, answer)
+}
+
+// submitTo runs an entry that follows the owner and submits a job of two tasks.
+func submitTo(t *testing.T, o *scriptedOwner) placer.Result {
+	t.Helper()
+	server := httptest.NewUnstartedServer(o)
+	server.Config.ErrorLog = nil
+	server.Start()
+	t.Cleanup(server.Close)
+	o.address = server.Listener.Addr().String()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := &relayer.Relayer{
+		Self: elector.Member{Address: "127.0.0.1:1", FailureDomain: "patan", Incarnation: 1}, Seeds: []string{o.address},
+		Workers: silentWorkers{}, Store: fixedStore{}, Peers: messenger.Client{Transport: relayer.NewTransport(4, time.Second)},
+		Metrics: exporter.New(), Log: log,
+	}
+	r.Init(time.Now())
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go r.Run(ctx)
+	for end := time.Now().Add(5 * time.Second); !r.Ready(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the entry follows nobody")
+		}
+	}
+	return r.Submit(t.Context(), placer.Job{ID: "00000000000000aa", Queue: "q", Service: "router", Tasks: 2, RemainingMs: 3000})
+}
+
+// Guards against an answer "did not run" for a job that may have run under an
+// earlier owner, and against 502 for one that no owner took.
+func TestAnswersAfterAChangeOfOwner(t *testing.T) {
+	moved := placer.Result{Moved: true, Placements: []placer.Placement{{Task: 0, Worker: "w0", Number: 1}}}
+	notOwner := placer.Result{Err: messenger.NewError(messenger.NoTarget, "this entry does not own the workers")}
+	for name, c := range map[string]struct {
+		answers []placer.Result
+		want    messenger.Ran
+		// last are the placements with which the job was asked for last.
+		last []placer.Placement
+	}{
+		"moved, then nobody owns":   {[]placer.Result{moved, notOwner}, messenger.MayHaveRun, moved.Placements},
+		"moved, then refused":       {[]placer.Result{moved, {Err: messenger.NewError(messenger.Overloaded, "")}}, messenger.MayHaveRun, moved.Placements},
+		"moved without runs":        {[]placer.Result{{Moved: true}, {Err: messenger.NewError(messenger.Overloaded, "")}}, messenger.DidNotRun, nil},
+		"nobody owns":               {[]placer.Result{notOwner}, messenger.DidNotRun, nil},
+		"broken, then nobody owns":  {[]placer.Result{{}, notOwner}, messenger.MayHaveRun, []placer.Placement{{Task: 0}, {Task: 1}}},
+		"broken again and again":    {[]placer.Result{{}}, messenger.MayHaveRun, []placer.Placement{{Task: 0}, {Task: 1}}},
+		"broken, then not all runs": {[]placer.Result{{}, {Err: messenger.NewError(messenger.TargetLost, "")}}, messenger.MayHaveRun, []placer.Placement{{Task: 0}, {Task: 1}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o := &scriptedOwner{answers: c.answers}
+			result := submitTo(t, o)
+			if result.Err == nil || result.Err.Ran != c.want {
+				t.Errorf("result %+v, want an error with %s", result, c.want)
+			}
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			got, err := json.Marshal(o.asked[len(o.asked)-1])
+			if err != nil {
+				t.Fatal(err)
+			}
+			want, err := json.Marshal(c.last)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if string(got) != string(want) {
+				t.Errorf("asked last with placements %s, want %s", got, want)
+			}
+		})
+	}
+}
+
+// Guards against a job that ends because the connection to its owner broke.
+func TestBrokenConnectionIsAskedAgain(t *testing.T) {
+	o := &scriptedOwner{answers: []placer.Result{{}, {Completed: true}}}
+	if result := submitTo(t, o); !result.Completed {
+		t.Errorf("result %+v, want completed", result)
+	}
+}
