--- a/standin/fleet/listener/fleet.go
+++ b/standin/fleet/listener/fleet.go
@@ -50,7 +50,8 @@
 	ID    string
 	fleet *Fleet
 	// silent workers read orders and answer none.
-	silent bool
+	silent  bool
+	started int
 }
 
 // Add adds a worker with the given room in thousandths of a core.
@@ -105,6 +106,13 @@
 	return n
 }
 
+// Started returns how many runs have begun on the worker.
+func (w *Worker) Started() int {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	return w.started
+}
+
 // Restart begins a new life of a worker.
 func (w *Worker) Restart() {
 	w.fleet.mu.Lock()
@@ -201,6 +209,7 @@
 	}, o.UntilMs, o.FencingToken)
 	if reason == "" && len(w.Runs(now)) > before {
 		f.started++
+		w.started++
 		if f.jobs == nil {
 			f.jobs = map[string]int{}
 		}
