placer: hanging tasks count against one worker, failures are forgiven

Cause: a job whose tasks hang was held against each worker on which they were tried, and a worker with 3 failures takes one task at a time until one is done. With all workers in that state a job wider than the workers never begins: it was refused as if the queue were too long.

Only the first hang of a task counts, and 10 s without a further failure end the restriction.

TestHangingTasksAreNotHeldAgainstAllWorkers and TestFailuresAreForgiven failed before.

--- a/entry/placer/health.go
+++ b/entry/placer/health.go
@@ -11,6 +11,10 @@
 	// maxBench bounds the pause, so that a worker that has recovered is found
 	// within seconds.
 	maxBench = 8 * time.Second
+	// forgiveAfter is the time after a pause without a further failure from
+	// which on a worker gets tasks as others do; the next failure benches it
+	// again. A wide job can't begin on workers that take one task each.
+	forgiveAfter = 10 * time.Second
 )
 
 // health judges a worker by the outcomes of its runs. The load pattern it
@@ -38,7 +42,7 @@
 // limit returns how many tasks may be on the worker: -1 for no limit.
 func (h *health) limit(now time.Time) int {
 	switch {
-	case h.failures < benchAfter:
+	case h.failures < benchAfter || now.Sub(h.until) > forgiveAfter:
 		return -1
 	case now.Before(h.until):
 		return 0
--- a/entry/placer/job.go
+++ b/entry/placer/job.go
@@ -34,6 +34,8 @@
 type task struct {
 	done     bool
 	failures int
+	// hangs counts the runs that made no progress.
+	hangs int
 	// number is that of the last start.
 	number int64
 	worker string
--- a/entry/placer/policy_test.go
+++ b/entry/placer/policy_test.go
@@ -194,3 +194,37 @@
 		t.Errorf("narrow: %d of %d in time", o.inTime, o.jobs)
 	}
 }
+
+// Guards against a job that can't be done and spoils the workers for others:
+// its hanging tasks were held against each worker in turn, and a wide job was
+// refused for ever since no worker took more than one task.
+func TestHangingTasksAreNotHeldAgainstAllWorkers(t *testing.T) {
+	s := newSimulation(1, 6, 1)
+	s.tell(s.owners[0], placer.Claim{WallMs: 1_700_000_000_000})
+	s.run(50 * time.Millisecond)
+	s.submit(s.owners[0], job("j0000", 4, 17000, 20), executor.Task{CPU: 17000, Work: 20 * time.Millisecond, Hangs: true})
+	s.run(5 * time.Second)
+	wide := s.submit(s.owners[0], job("j0001", 8, 27000, 60), executor.Task{CPU: 27000, Work: 60 * time.Millisecond})
+	s.run(time.Second)
+	if len(wide.answers) != 1 || !wide.answers[0].Completed {
+		t.Errorf("answers of the wide job %+v, want completed", wide.answers)
+	}
+}
+
+// Guards against workers that take one task each for ever after a bad time, so
+// that a wide job can't begin.
+func TestFailuresAreForgiven(t *testing.T) {
+	s := newSimulation(1, 6, 1)
+	s.tell(s.owners[0], placer.Claim{WallMs: 1_700_000_000_000})
+	s.run(50 * time.Millisecond)
+	for i := range 60 {
+		s.submit(s.owners[0], job(fmt.Sprintf("j%04d", i), 2, 17000, 20), executor.Task{CPU: 17000, Work: 20 * time.Millisecond, Fails: true})
+		s.run(50 * time.Millisecond)
+	}
+	s.run(20 * time.Second)
+	wide := s.submit(s.owners[0], job("j0060", 8, 27000, 60), executor.Task{CPU: 27000, Work: 60 * time.Millisecond})
+	s.run(time.Second)
+	if len(wide.answers) != 1 || !wide.answers[0].Completed {
+		t.Errorf("answers of the wide job %+v, want completed", wide.answers)
+	}
+}
--- a/entry/placer/runs.go
+++ b/entry/placer/runs.go
@@ -210,11 +210,15 @@
 		"task": r.key.Task, "run": r.key.Number, "worker": w.ID, "percent": r.percent, "ranMs": now.Sub(r.since).Milliseconds(),
 	})
 	s.do(Count{"worker", "hung"})
-	w.health.failed(now)
 	j := r.job
+	t := &j.tasks[r.task]
+	if t.hangs++; t.hangs == 1 {
+		// A task that hangs anywhere says nothing of the other workers.
+		w.health.failed(now)
+	}
 	r.state = stopping
 	s.repeatStop(now, w, r)
-	if j.tasks[r.task].failures >= j.MaxAttempts {
+	if t.failures >= j.MaxAttempts {
 		s.fail(now, j, messenger.TargetLost, "a task makes no progress")
 	}
 }
