--- a/entry/placer/invariant_test.go
+++ b/entry/placer/invariant_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -34,12 +35,8 @@
 // stay occupied, under lost, late and unanswered orders, workers that restart
 // or are cut off, callers that leave, and changes of owner.
 func TestInvariants(t *testing.T) {
-	n := invariantSeeds
-	if v, err := strconv.Atoi(os.Getenv("GODWIT_SEEDS")); err == nil {
-		n = v
-	}
 	seeds := append([]int64(nil), failedSeeds...)
-	for seed := range int64(n) {
+	for seed := range int64(histories()) {
 		seeds = append(seeds, seed)
 	}
 	for _, seed := range seeds {
@@ -50,6 +47,14 @@
 	}
 }
 
+// histories is the number of generated histories of a test.
+func histories() int {
+	if n, err := strconv.Atoi(os.Getenv("GODWIT_SEEDS")); err == nil {
+		return n
+	}
+	return invariantSeeds
+}
+
 func playHistory(t *testing.T, seed int64) {
 	s := newSimulation(seed, 12, 2)
 	r := s.random
@@ -151,38 +156,45 @@
 // checkQuiet checks what must hold once nothing is submitted any more.
 func (s *simulation) checkQuiet(t *testing.T, current *owner) {
 	t.Helper()
-	for _, f := range s.faults {
-		t.Error(f)
+	for _, p := range s.problems(current) {
+		t.Error(p)
 	}
+	if t.Failed() {
+		for _, line := range s.trace {
+			t.Log(line)
+		}
+	}
+}
+
+// problems returns what callers and workers saw against the rules, and what must
+// not be left once nothing is submitted any more.
+func (s *simulation) problems(current *owner) []string {
+	list := slices.Clone(s.faults)
+	add := func(format string, args ...any) { list = append(list, fmt.Sprintf(format, args...)) }
 	for _, id := range sortedIDs(s.jobs) {
 		j := s.jobs[id]
 		if len(j.answers) == 0 {
-			t.Errorf("job %s has no answer", id)
+			add("job %s has no answer", id)
 			continue
 		}
-		last := j.answers[len(j.answers)-1]
-		if last.Moved {
-			t.Errorf("job %s was moved and not answered", id)
+		if j.answers[len(j.answers)-1].Moved {
+			add("job %s was moved and not answered", id)
 		}
 	}
 	if all, waiting := current.state.Jobs(); all != 0 || waiting != 0 {
-		t.Errorf("%d jobs are in progress, %d wait", all, waiting)
+		add("%d jobs are in progress, %d wait", all, waiting)
 	}
 	for _, m := range s.machines {
 		if runs := m.Runs(s.now); len(runs) != 0 {
-			t.Errorf("worker %s still runs %v", m.id, runs)
+			add("worker %s still runs %v", m.id, runs)
 		}
 	}
 	after := s.submit(current, job(fmt.Sprintf("j%04d", len(s.jobs)), 8, 27000, 60), executor.Task{CPU: 27000, Work: 60 * time.Millisecond})
 	s.run(time.Second)
 	if len(after.answers) != 1 || !after.answers[0].Completed {
-		t.Errorf("a wide job after the faults was not completed: %+v", after.answers)
-	}
-	if t.Failed() {
-		for _, line := range s.trace {
-			t.Log(line)
-		}
+		add("a wide job after the faults was not completed: %+v", after.answers)
 	}
+	return list
 }
 
 func sortedIDs(jobs map[string]*submitted) []string {
