--- a/entry/placer/submit.go
+++ b/entry/placer/submit.go
@@ -239,7 +239,7 @@
 	s.do(Answer{j.waiter, result})
 	s.log("job ended", map[string]any{
 		"job": j.ID, "queue": j.Queue, "entry": j.entry, "outcome": result.Outcome(), "reason": result.reason(), "offered": j.offered,
-		"tasks": len(j.tasks), "left": j.left, "ageMs": now.Sub(j.arrived).Milliseconds(),
+		"tasks": len(j.tasks), "left": j.left, "cpu": j.Room.CPU, "expectedMs": s.times.expect(j).Milliseconds(), "ageMs": now.Sub(j.arrived).Milliseconds(),
 	})
 }
 
--- a/load/main.go
+++ b/load/main.go
@@ -46,6 +46,7 @@
 			compareCommand(out),
 			plotCommand(),
 			capacityCommand(out),
+			packCommand(out),
 		},
 	}
 }
--- /dev/null
+++ b/load/pack.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/godwitrelay/godwitrelay/load/packer"
+)
+
+// packCommand reads logs of entries and says what could have been served.
+func packCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:      "pack",
+		Usage:     "the most of the jobs in logs of entries that could have been served",
+		ArgsUsage: "LOG",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			f, err := os.Open(cmd.Args().First())
+			if err != nil {
+				return errors.Wrap(err, "opening the log")
+			}
+			defer f.Close()
+			jobs, rooms, err := packer.Read(f)
+			if err != nil {
+				return err
+			}
+			return writeResult(out, "", packer.Pack(jobs, rooms))
+		},
+	}
+}
