placer: a restarted worker's list counts once it has seen a higher fence

The first answer after a restart now only raises the fence; the list is asked for again, no task starts on the worker before, and a late start that is on that list becomes the run of its task.

--- a/entry/placer/fence_test.go
+++ b/entry/placer/fence_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/godwitrelay/godwitrelay/entry/placer"
+	"github.com/godwitrelay/godwitrelay/standin/fleet/executor"
 )
 
 // Guards against fences that rise with each claim, though none was refused, and
@@ -48,3 +49,41 @@
 		t.Errorf("%d workers are owned, want %d", got, want)
 	}
 }
+
+// Guards against a second run of a task when a start that got no answer is
+// carried out by its worker's next life, at any moment after the restart: the
+// worker has forgotten the stop, and accepts the fence of before until it sees a
+// higher one.
+func TestLateStartAfterRestart(t *testing.T) {
+	for after := time.Duration(0); after < 300*time.Millisecond; after += time.Millisecond {
+		s := newSimulation(3, 2, 1)
+		o := s.owners[0]
+		s.tell(o, placer.Claim{WallMs: 1_700_000_000_000})
+		s.run(100 * time.Millisecond)
+		fence := o.state.Fence()
+		s.fault.lost = 1
+		s.submit(o, job("j0000", 1, 60000, 900), executor.Task{CPU: 60000, Work: 900 * time.Millisecond})
+		s.fault.lost = 0
+		s.run(300 * time.Millisecond)
+		var m *machine
+		for _, w := range s.machines {
+			if len(w.Runs(s.now)) > 0 {
+				m = w
+			}
+		}
+		if m == nil {
+			t.Fatal("the second start is not at work")
+		}
+		m.Restart(s.now)
+		s.after(after, func(now time.Time) {
+			s.begin(now, m, placer.Start{Worker: m.id, Fence: fence, Key: placer.RunKey{Task: "j0000.0.0.0", Number: 1}, UntilMs: m.ClockMs(now) + 1000})
+		})
+		s.run(5 * time.Second)
+		for _, f := range s.faults {
+			t.Errorf("late start %v after the restart: %s", after, f)
+		}
+		if n := len(s.jobs["j0000"].answers); n != 1 {
+			t.Errorf("late start %v after the restart: %d answers", after, n)
+		}
+	}
+}
--- a/entry/placer/owner.go
+++ b/entry/placer/owner.go
@@ -105,7 +105,7 @@
 func (s *State) hold(now time.Time, w *worker) {
 	wait := holdWait
 	switch {
-	case w.clockAt.IsZero() || w.phase == claiming || w.unanswered > 0:
+	case w.clockAt.IsZero() || w.phase == claiming || w.unlisted || w.unanswered > 0:
 		wait = 0
 	case s.contested:
 		wait = contestedWait
@@ -135,7 +135,7 @@
 	}
 	if msg.Look {
 		// Only the hold that waits tells whether a worker is lost.
-		if msg.Result == HoldAnswered && w.phase == owned && msg.BornMs == w.BornMs {
+		if msg.Result == HoldAnswered && w.phase == owned && msg.BornMs == w.BornMs && !w.unlisted {
 			w.answeredAt, w.clockMs, w.clockAt = now, msg.ClockMs, now
 			s.reconcile(now, w, msg)
 		}
@@ -158,9 +158,12 @@
 		s.log("worker answers again", map[string]any{"worker": w.ID, "unanswered": w.unanswered})
 	}
 	w.lost = false
-	if msg.BornMs > 0 && msg.BornMs != w.BornMs {
-		s.reborn(w, msg.BornMs)
+	if msg.BornMs > 0 && msg.BornMs != w.BornMs && s.reborn(w, msg.BornMs) {
+		w.unanswered, w.answeredAt, w.clockMs, w.clockAt = 0, now, msg.ClockMs, now
+		s.hold(now, w)
+		return
 	}
+	w.unlisted = false
 	if w.phase == claiming && w.fence == s.fence {
 		s.climb = fenceStep
 	}
@@ -221,20 +224,21 @@
 
 // reborn handles a worker that started anew under its id: its ends are counted
 // anew. Its list of runs tells which known ones belong to the new life; those
-// of before are gone.
-func (s *State) reborn(w *worker, bornMs int64) {
-	if w.BornMs > 0 {
-		s.log("worker started anew", map[string]any{"worker": w.ID, "runs": len(w.runs), "bornMs": bornMs})
-	}
-	if w.BornMs > 0 {
-		// It has forgotten its fence and the numbers that were stopped, so late
-		// starts of its former life would be carried out. A higher fence keeps
-		// them out.
-		s.fence += 1 << fenceSaltBits
-		w.fence = s.fence
-	}
+// of before are gone. It reports whether the list has to be asked for again.
+func (s *State) reborn(w *worker, bornMs int64) bool {
+	known := w.BornMs > 0
 	w.BornMs, w.lastEnd, w.health = bornMs, 0, health{}
 	w.ends = map[RunKey]endRecord{}
+	if !known {
+		return false
+	}
+	s.log("worker started anew", map[string]any{"worker": w.ID, "runs": len(w.runs), "bornMs": bornMs})
+	// It has forgotten its fence and the numbers that were stopped, so late
+	// starts of its former life are carried out until it sees a higher fence.
+	// Only a list from then on tells which runs exist.
+	s.fence += 1 << fenceSaltBits
+	w.fence, w.unlisted = s.fence, true
+	return true
 }
 
 // replaced handles another worker at the address: nothing of before runs.
--- a/entry/placer/runs.go
+++ b/entry/placer/runs.go
@@ -96,12 +96,26 @@
 			continue
 		}
 		w.drop(r)
+		if other := w.otherRun(r); other != nil {
+			// A late start of the task was carried out in the worker's next life.
+			s.log("run was replaced by an earlier start", map[string]any{"task": r.key.Task, "run": r.key.Number, "by": other.key.Number, "worker": w.ID})
+			s.adopt(w, other, r.job, r.task)
+			continue
+		}
 		s.ended(now, w, r, EndLapsed)
 	}
 	w.listedAt = msg.Sent
 	s.adoptAwaited(now, w, msg.Sent)
 }
 
+// otherRun returns a run without a job on w of the task whose run is r.
+func (w *worker) otherRun(r *run) *run {
+	if r.job == nil || r.job.tasks[r.task].run != r {
+		return nil
+	}
+	return w.awaitedRun(RunKey{Task: r.key.Task})
+}
+
 // confirmed tells whether the stop of r was confirmed before t.
 func (r *run) confirmed(t time.Time) bool { return r.stopTries < 0 && !r.stopSent.After(t) }
 
--- a/entry/placer/submit.go
+++ b/entry/placer/submit.go
@@ -98,9 +98,8 @@
 func (s *State) adoptTask(now time.Time, w *worker, j *job, i int, complete bool) {
 	t := &j.tasks[i]
 	if r := w.awaitedRun(*t.awaits); r != nil {
-		w.used = w.used.Sub(r.room).Add(j.Room)
-		r.job, r.task, r.room, r.expected, r.adopted = j, i, j.Room, s.times.expect(j), true
-		t.run, t.awaits, t.worker, t.number = r, nil, w.ID, r.key.Number
+		t.awaits = nil
+		s.adopt(w, r, j, i)
 		return
 	}
 	key, end, ok := w.awaitedEnd(*t.awaits)
@@ -121,6 +120,14 @@
 	}
 }
 
+// adopt makes a run without a job that of a task.
+func (s *State) adopt(w *worker, r *run, j *job, i int) {
+	w.used = w.used.Sub(r.room).Add(j.Room)
+	r.job, r.task, r.room, r.expected, r.adopted = j, i, j.Room, s.times.expect(j), true
+	t := &j.tasks[i]
+	t.run, t.worker, t.number = r, w.ID, max(t.number, r.key.Number)
+}
+
 // awaitsOn tells whether a task of j awaits a run on w, or on any worker.
 func (j *job) awaitsOn(w *worker) bool {
 	for i := range j.tasks {
--- a/entry/placer/worker.go
+++ b/entry/placer/worker.go
@@ -70,6 +70,9 @@
 	listedAt   time.Time
 	lookedAt   time.Time
 	unanswered int
+	// unlisted is set from a restart of the worker until it lists its runs under
+	// a higher fence.
+	unlisted bool
 	// lost is set once the runs of a silent worker were given up.
 	lost        bool
 	retryAt     time.Time
@@ -115,14 +118,14 @@
 
 // usable tells whether new tasks may be placed here.
 func (w *worker) usable(now time.Time) bool {
-	return !w.gone && !w.Draining && w.reachable(now) && !now.Before(w.startsUntil)
+	return !w.gone && !w.Draining && !w.unlisted && w.reachable(now) && !now.Before(w.startsUntil)
 }
 
 // forget drops everything that was known of the worker's runs, because it
 // started anew or its runs belong to another owner.
 func (w *worker) forget() {
 	w.runs, w.ends, w.used = map[RunKey]*run{}, map[RunKey]endRecord{}, Room{}
-	w.lastEnd = 0
+	w.lastEnd, w.unlisted = 0, false
 }
 
 func (w *worker) drop(r *run) {
