lister: the list of workers travels as a difference

Cause: at each change every entry fetched the whole list from its owner, 150 B a worker; docs/CAPACITY.md had it as not fitting 4 KB/s at the design size. Versions of different entries could also have the same number, so that an entry kept another list after a partition; they now carry their author.

--- a/entry/relayer/follow.go
+++ b/entry/relayer/follow.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"reflect"
 	"time"
 
 	"github.com/godwitrelay/godwitrelay/entry/elector"
+	"github.com/godwitrelay/godwitrelay/entry/lister"
 	"github.com/godwitrelay/godwitrelay/entry/placer"
 	"github.com/godwitrelay/godwitrelay/entry/router"
 )
@@ -112,12 +112,11 @@
 	}
 }
 
-func (r *Relayer) setFleet(list []placer.Worker) {
+func (r *Relayer) setFleet(workers []placer.Worker) {
 	old := r.fleet.Load()
-	if reflect.DeepEqual(old.Workers, list) {
-		return
+	if next := old.Replace(r.Self.Incarnation, workers); next != old {
+		r.useFleet(next)
 	}
-	r.useFleet(&fleet{Version: old.Version + 1, Workers: list})
 }
 
 const (
@@ -131,7 +130,7 @@
 
 // useFleet takes over a list of workers, and with it the group that this entry
 // belongs to.
-func (r *Relayer) useFleet(f *fleet) {
+func (r *Relayer) useFleet(f *lister.List) {
 	r.fleet.Store(f)
 	if n := len(f.Workers); n > splitAbove || n < joinBelow {
 		r.split.Store(n > splitAbove)
--- a/entry/relayer/peer.go
+++ b/entry/relayer/peer.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -11,6 +13,7 @@
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
 	"github.com/godwitrelay/godwitrelay/entry/elector"
+	"github.com/godwitrelay/godwitrelay/entry/lister"
 	"github.com/godwitrelay/godwitrelay/entry/placer"
 	"github.com/godwitrelay/godwitrelay/entry/router"
 	"github.com/godwitrelay/godwitrelay/entry/spiller"
@@ -31,6 +34,8 @@
 	View           elector.View `json:"view"`
 	ConfigVersion  int64        `json:"configVersion"`
 	WorkersVersion uint64       `json:"workersVersion"`
+	// WorkersAuthor is the incarnation of the entry that counted the version.
+	WorkersAuthor uint64 `json:"workersAuthor"`
 	// Fence is the highest fence that the sender has heard of.
 	Fence int64 `json:"fence"`
 	// FreeCPU is the free room of an owner's workers, in thousandths of a core.
@@ -41,7 +46,8 @@
 }
 
 func (r *Relayer) beat() beat {
-	b := beat{View: *r.view.Load(), WorkersVersion: r.fleet.Load().Version, Fence: r.fence.Load()}
+	workers := r.fleet.Load().Version
+	b := beat{View: *r.view.Load(), WorkersVersion: workers.Number, WorkersAuthor: workers.Author, Fence: r.fence.Load()}
 	if cfg := r.configuration.Load(); cfg != nil {
 		b.ConfigVersion = cfg.Version
 	}
@@ -79,10 +85,16 @@
 			r.apply(cfg, address)
 		}
 	}
-	if r.ownership.Load().address == address && r.Self.Address != address && b.WorkersVersion != mine.WorkersVersion && b.WorkersVersion > 0 {
-		var f fleet
-		if r.fetch(address, "/peer/v1/workers", &f) && len(f.Workers) > 0 && r.ownership.Load().address != r.Self.Address {
-			r.useFleet(&f)
+	if r.ownership.Load().address == address && r.Self.Address != address && b.WorkersVersion > 0 &&
+		(b.WorkersVersion != mine.WorkersVersion || b.WorkersAuthor != mine.WorkersAuthor) {
+		have := r.fleet.Load()
+		var u lister.Update
+		path := fmt.Sprintf("/peer/v1/workers?author=%d&version=%d", have.Version.Author, have.Version.Number)
+		if !r.fetch(address, path, &u) {
+			return
+		}
+		if list := have.Apply(u); len(list.Workers) > 0 && r.ownership.Load().address != r.Self.Address {
+			r.useFleet(list)
 		}
 	}
 }
@@ -109,9 +121,7 @@
 	mux.HandleFunc("GET /peer/v1/configuration", func(w http.ResponseWriter, _ *http.Request) {
 		messenger.Reply(w, http.StatusOK, r.configuration.Load())
 	})
-	mux.HandleFunc("GET /peer/v1/workers", func(w http.ResponseWriter, _ *http.Request) {
-		messenger.Reply(w, http.StatusOK, r.fleet.Load())
-	})
+	mux.HandleFunc("GET /peer/v1/workers", r.serveWorkers)
 	return mux
 }
 
@@ -126,6 +136,18 @@
 	go r.catchUp(b.View.From.Address, b)
 }
 
+// serveWorkers answers with what changed since the version of the query. A
+// query that names none, or one that can't be read, gets the whole list.
+func (r *Relayer) serveWorkers(w http.ResponseWriter, req *http.Request) {
+	author, errAuthor := strconv.ParseUint(req.FormValue("author"), 10, 64)
+	number, errNumber := strconv.ParseUint(req.FormValue("version"), 10, 64)
+	have := lister.Version{Author: author, Number: number}
+	if errAuthor != nil || errNumber != nil {
+		have = lister.Version{}
+	}
+	messenger.Reply(w, http.StatusOK, r.fleet.Load().Since(have))
+}
+
 func (r *Relayer) serveJob(w http.ResponseWriter, req *http.Request) {
 	var s submission
 	if !decode(w, req, &s) {
--- a/entry/relayer/relayer.go
+++ b/entry/relayer/relayer.go
@@ -15,6 +15,7 @@
 	"github.com/godwitrelay/godwitrelay/core/messenger"
 	"github.com/godwitrelay/godwitrelay/entry/elector"
 	"github.com/godwitrelay/godwitrelay/entry/exporter"
+	"github.com/godwitrelay/godwitrelay/entry/lister"
 	"github.com/godwitrelay/godwitrelay/entry/placer"
 	"github.com/godwitrelay/godwitrelay/entry/router"
 	"github.com/godwitrelay/godwitrelay/entry/spiller"
@@ -77,7 +78,7 @@
 	last    atomic.Uint64
 
 	configuration atomic.Pointer[router.Configuration]
-	fleet         atomic.Pointer[fleet]
+	fleet         atomic.Pointer[lister.List]
 	view          atomic.Pointer[elector.View]
 	members       atomic.Pointer[[]elector.Member]
 	neighbours    spiller.State
@@ -98,13 +99,6 @@
 	shownAt time.Time
 }
 
-// fleet is a version of the list of workers. Versions of one entry rise; those
-// of different entries can't be compared.
-type fleet struct {
-	Version uint64          `json:"version"`
-	Workers []placer.Worker `json:"workers"`
-}
-
 // ownership is the belief about who owns the workers. Changed is closed when
 // it is replaced.
 type ownership struct {
@@ -118,7 +112,7 @@
 	r.elector = elector.New(now, r.Self)
 	r.events, r.done, r.ending = make(chan any, queueLength), make(chan struct{}), make(chan struct{})
 	r.ownership.Store(&ownership{changed: make(chan struct{})})
-	r.fleet.Store(&fleet{})
+	r.fleet.Store(&lister.List{})
 	r.storeDown = map[string]bool{}
 	v := r.elector.View(now)
 	r.view.Store(&v)
