--- a/entry/lister/lister.go
+++ b/entry/lister/lister.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"reflect"
 	"slices"
 
 	"github.com/godwitrelay/godwitrelay/entry/placer"
@@ -123,7 +124,7 @@
 			c.workers = append(c.workers, after[0])
 			after = after[1:]
 		default:
-			if !equal(before[0], after[0]) {
+			if !reflect.DeepEqual(before[0], after[0]) {
 				c.workers = append(c.workers, after[0])
 			}
 			before, after = before[1:], after[1:]
@@ -131,9 +132,3 @@
 	}
 	return c
 }
-
-func equal(a, b placer.Worker) bool {
-	sameLabels := slices.Equal(a.Labels, b.Labels)
-	return sameLabels && a.ID == b.ID && a.Address == b.Address && a.FailureDomain == b.FailureDomain && a.Service == b.Service &&
-		a.Rack == b.Rack && a.Room == b.Room && a.Draining == b.Draining && a.BornMs == b.BornMs
-}
