--- a/entry/placer/policy_test.go
+++ b/entry/placer/policy_test.go
@@ -228,3 +228,25 @@
 		t.Errorf("answers of the wide job %+v, want completed", wide.answers)
 	}
 }
+
+// Guards against a job that is said to be wider than all workers while its owner
+// has claimed a part of them.
+func TestWideJobWhileWorkersAreClaimed(t *testing.T) {
+	s := newSimulation(1, 12, 1)
+	s.tell(s.owners[0], placer.Claim{WallMs: 1_700_000_000_000, Contested: true})
+	s.run(100 * time.Millisecond)
+	early := s.submit(s.owners[0], job("j0000", 20, 27000, 60), executor.Task{CPU: 27000, Work: 60 * time.Millisecond})
+	never := s.submit(s.owners[0], job("j0001", 200, 27000, 60), executor.Task{CPU: 27000, Work: 60 * time.Millisecond})
+	s.run(2 * time.Second)
+	if len(early.answers) != 1 || (!early.answers[0].Completed && early.answers[0].Err.Kind != messenger.Overloaded) {
+		t.Errorf("answers %+v, want completed or overloaded", early.answers)
+	}
+	if len(never.answers) != 1 || never.answers[0].Err == nil || never.answers[0].Err.Kind != messenger.NeverRunnable {
+		t.Errorf("answers %+v, want never runnable", never.answers)
+	}
+	late := s.submit(s.owners[0], job("j0002", 20, 27000, 60), executor.Task{CPU: 27000, Work: 60 * time.Millisecond})
+	s.run(time.Second)
+	if len(late.answers) != 1 || !late.answers[0].Completed {
+		t.Errorf("answers %+v, want completed", late.answers)
+	}
+}
--- a/entry/placer/queue.go
+++ b/entry/placer/queue.go
@@ -78,11 +78,15 @@
 func (s *State) refuseAtOnce(now time.Time, j *job) *messenger.Error {
 	workers, capacity := 0, 0
 	for _, w := range s.order {
-		if !suits(w, j) || w.gone || w.Draining || w.phase != owned {
+		if !suits(w, j) || w.gone || w.Draining {
 			continue
 		}
-		workers++
+		// Workers that are not owned yet may be in a moment, and count for what
+		// can ever run.
 		capacity += copies(w.Room, j)
+		if w.phase == owned {
+			workers++
+		}
 	}
 	switch {
 	case workers == 0:
