--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -56,11 +56,11 @@
 func deploy(t *testing.T, program string, entries, workers int) *deployment {
 	d := &deployment{t: t, program: program, folder: t.TempDir(), network: forwarder.New(func(net.Conn) string { return "entry" })}
 	t.Cleanup(d.network.Close)
-	d.store.Put("keyed.op", "config", listener.Configuration(1, host, prefix, "router"))
+	d.store.Put(listener.OperatorTopic, listener.ConfigurationKey, listener.Configuration(1, host, prefix, "router"))
 	for i := range workers {
 		w := d.fleet.Add(fmt.Sprintf("w%d", i), 64000)
 		address := d.forward(w.ID, w.Handler())
-		d.store.Put("keyed.servers", w.ID, w.Record("router", address, "patan", false))
+		d.store.Put(listener.WorkerTopic, w.ID, w.Record("router", address, "patan", false))
 		d.workers = append(d.workers, w)
 	}
 	// Addresses of entries are in a block of loopback of their own.
--- a/standin/fleet/listener/caller.go
+++ b/standin/fleet/listener/caller.go
@@ -5,6 +5,13 @@
 	"fmt"
 )
 
+// The topics and the key of the store's records.
+const (
+	OperatorTopic    = "keyed.op"
+	ConfigurationKey = "config"
+	WorkerTopic      = "keyed.servers"
+)
+
 // Configuration is the operators' record of one queue in the store.
 func Configuration(version int, host, prefix, service string) []byte {
 	return fmt.Appendf(nil, `{"Version":%d,"Routes":[{"Name":"q","Host":%q,"Prefix":%q,"TimeoutMs":1500,"TargetLatencyMs":60,
