--- a/entry/placer/rules_test.go
+++ b/entry/placer/rules_test.go
@@ -38,7 +38,7 @@
 	s := newSimulation(1, 6, 1)
 	list := s.list()
 	list[0].Service = "another"
-	list[1].Labels, list[2].Labels = []string{"b"}, []string{"b", "r2"}
+	list[1].Labels, list[2].Labels, list[3].Labels = []string{"b"}, []string{"b", "r2"}, []string{"a", "r2"}
 	s.tell(s.owners[0], placer.Listed{Workers: list})
 	s.tell(s.owners[0], placer.Claim{WallMs: 1_700_000_000_000})
 	s.run(100 * time.Millisecond)
