lister: whole lists of entries of the version before replace the list

Cause: they lack the mark of a full update, so a new entry that follows an old owner added them to its own list during a rolling upgrade. Found by reading. TestUpdateOfTheVersionBefore failed before.

--- a/entry/lister/lister.go
+++ b/entry/lister/lister.go
@@ -89,10 +89,10 @@
 }
 
 // Apply returns the list after an update that was asked for with the version of
-// l.
+// l. Entries of the version before send whole lists without an author.
 func (l *List) Apply(u Update) *List {
 	next := &List{Version: u.Version, Workers: slices.Clone(u.Workers)}
-	if !u.Full {
+	if !u.Full && u.Author != 0 {
 		gone := map[string]bool{}
 		for _, w := range u.Workers {
 			gone[w.ID] = true
--- a/entry/lister/lister_test.go
+++ b/entry/lister/lister_test.go
@@ -84,3 +84,16 @@
 		t.Errorf("workers %v, want b only", got.Workers)
 	}
 }
+
+// Guards against workers that stay known after they left, while an owner of the
+// version before answers with whole lists that don't say so.
+func TestUpdateOfTheVersionBefore(t *testing.T) {
+	have := (&lister.List{}).Replace(1, []placer.Worker{{ID: "a"}})
+	var u lister.Update
+	if err := json.Unmarshal([]byte(`{"version":5,"workers":[{"id":"b"}]}`), &u); err != nil {
+		t.Fatal(err)
+	}
+	if got := have.Apply(u); len(got.Workers) != 1 || got.Workers[0].ID != "b" {
+		t.Errorf("workers %v, want b only", got.Workers)
+	}
+}
