elector: tests share one way to restore a network and to check that it settled

The loop that brings all entries back stood in two tests, the pair of checks for one owner in three. The assertions are the same; owners that never yield are still caught.

--- a/entry/elector/elector_test.go
+++ b/entry/elector/elector_test.go
@@ -68,10 +68,7 @@
 		t.Error("the entry still owns the workers after a pause")
 	}
 	n.run(time.Second)
-	n.checkOneOwner(t, all(n)...)
-	if owners := n.owners(); len(owners) != 1 {
-		t.Errorf("owners are %v", owners)
-	}
+	n.checkSettled(t)
 }
 
 // Guards against an entry that drops the jobs that it passed on, because it
@@ -166,10 +163,7 @@
 	if younger.moved != moved+1 || older.owns <= owns {
 		t.Errorf("the younger owner moved its jobs %d times, the older one claimed %d times, want once each at least", younger.moved-moved, older.owns-owns)
 	}
-	n.checkOneOwner(t, all(n)...)
-	if owners := n.owners(); len(owners) != 1 {
-		t.Errorf("owners are %v", owners)
-	}
+	n.checkSettled(t)
 }
 
 // Guards against an isolated entry that takes the workers from the owner that
@@ -292,20 +286,9 @@
 				n.run(time.Duration(n.random.Intn(2000)) * time.Millisecond)
 				n.breakSomething()
 			}
-			n.heal()
-			for i, e := range n.entries {
-				switch {
-				case e.down:
-					n.start(i)
-				case e.frozen:
-					n.resume(i)
-				}
-			}
+			n.restore()
 			n.run(6 * time.Second)
-			n.checkOneOwner(t, all(n)...)
-			if owners := n.owners(); len(owners) != 1 {
-				t.Errorf("owners are %v", owners)
-			}
+			n.checkSettled(t)
 		})
 	}
 }
--- a/entry/elector/network_test.go
+++ b/entry/elector/network_test.go
@@ -194,6 +194,19 @@
 
 func (n *network) heal() { n.cut = map[[2]int]bool{} }
 
+// restore heals all cuts, and has every entry start or go on.
+func (n *network) restore() {
+	n.heal()
+	for i, e := range n.entries {
+		switch {
+		case e.down:
+			n.start(i)
+		case e.frozen:
+			n.resume(i)
+		}
+	}
+}
+
 // owners returns the entries that own the workers.
 func (n *network) owners() []int {
 	var list []int
@@ -227,3 +240,13 @@
 	t.Fatalf("owner %q is no entry", owner)
 	return -1
 }
+
+// checkSettled checks that all entries that are up follow one owner, and that
+// no other one owns the workers.
+func (n *network) checkSettled(t *testing.T) {
+	t.Helper()
+	n.checkOneOwner(t, all(n)...)
+	if owners := n.owners(); len(owners) != 1 {
+		t.Errorf("owners are %v", owners)
+	}
+}
--- a/entry/elector/property_test.go
+++ b/entry/elector/property_test.go
@@ -69,15 +69,7 @@
 		events = append(events, n.playFault(number))
 	}
 	n.run(time.Second)
-	n.heal()
-	for i, e := range n.entries {
-		switch {
-		case e.down:
-			n.start(i)
-		case e.frozen:
-			n.resume(i)
-		}
-	}
+	n.restore()
 	n.run(6 * time.Second)
 	problem := ""
 	owners := n.owners()
