proof, entry: mend the four known red tests

TestLose: the forwarder wrote a request to the server before it tracked it, so that a fast reply was passed on before the drop rule applied.

TestLogWriter: the log counted only the queued lines, not the batch that is being written.

new-broker-in-outage: deploy did not wait until each entry had read the list of targets. It now does; the status of an entry reports how many it has read.

leaving-targets: mark counted starts, so that a task sent before the mark failed the check. It now saves what has been sent; expect-no-starts fails for each task that was sent after the mark and started.

--- a/core/messenger/status.go
+++ b/core/messenger/status.go
@@ -1,7 +1,8 @@
 package messenger
 
 // EntryStatus is the reply to GET /operator/v1/status on an entry. Brokered
-// lists the services for which this entry is the broker.
+// lists the services for which this entry is the broker. ListedTargets is the
+// number of targets of its failure domain in the last list of VMs that it read.
 type EntryStatus struct {
 	Self          Member         `json:"self"`
 	FailureDomain string         `json:"failureDomain"`
@@ -11,6 +12,7 @@
 	ChangeID      string         `json:"changeId"`
 	Members       []MemberState  `json:"members"`
 	Jobs          int            `json:"jobs"`
+	ListedTargets int            `json:"listedTargets"`
 	Brokered      []ServiceState `json:"brokered"`
 }
 
--- a/entry/dispatcher/platform.go
+++ b/entry/dispatcher/platform.go
@@ -26,14 +26,19 @@
 		return
 	}
 	s.vms, s.vmsKnown = msg.List, true
+	s.updateBroker(now, broker.TargetsListed{VMs: s.listedTargets()})
+	s.updateCandidates(now, msg.List.VMs)
+}
+
+// listedTargets returns the targets of this failure domain in the list of VMs.
+func (s *State) listedTargets() []messenger.VM {
 	var targets []messenger.VM
-	for _, vm := range msg.List.VMs {
+	for _, vm := range s.vms.VMs {
 		if vm.Role == messenger.TargetVM && vm.FailureDomain == s.cfg.FailureDomain {
 			targets = append(targets, vm)
 		}
 	}
-	s.updateBroker(now, broker.TargetsListed{VMs: targets})
-	s.updateCandidates(now, msg.List.VMs)
+	return targets
 }
 
 func (s *State) fetchVMsFromPeer() {
--- a/entry/dispatcher/state.go
+++ b/entry/dispatcher/state.go
@@ -218,6 +218,6 @@
 		Ready: s.Ready(), Stopping: s.stop.started,
 		ConfigVersion: active.Version, ChangeID: active.ChangeID,
 		Members: s.gossiper.Members(), Jobs: s.jobs.InProgress(),
-		Brokered: s.broker.Services(),
+		Brokered: s.broker.Services(), ListedTargets: len(s.listedTargets()),
 	}
 }
--- a/entry/relayer/log.go
+++ b/entry/relayer/log.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// logQueueSize bounds the number of lines queued for a slow reader. Further
-	// lines are dropped and counted.
+	// logQueueSize bounds the number of unwritten lines, including those of the
+	// batch that is being written. Further lines are dropped and counted.
 	logQueueSize = 2048
 	// flushTimeout bounds how long Flush waits for queued lines.
 	flushTimeout = 300 * time.Millisecond
@@ -23,7 +23,9 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
-	pending sync.WaitGroup
+	// unwritten is the number of lines that count towards logQueueSize.
+	unwritten atomic.Int64
+	pending   sync.WaitGroup
 }
 
 // NewLogWriter returns a LogWriter that writes to out.
@@ -35,13 +37,14 @@
 
 // Write queues a line without blocking.
 func (w *LogWriter) Write(line []byte) (int, error) {
-	w.pending.Add(1)
-	select {
-	case w.lines <- append([]byte(nil), line...):
-	default:
-		w.pending.Done()
+	if w.unwritten.Add(1) > logQueueSize {
+		w.unwritten.Add(-1)
 		w.dropped.Add(1)
+		return len(line), nil
 	}
+	w.pending.Add(1)
+	// Never blocks: the channel has a place for each unwritten line.
+	w.lines <- append([]byte(nil), line...)
 	return len(line), nil
 }
 
@@ -65,6 +68,7 @@
 		// An error means that nothing reads the log, and there is no other place to
 		// report it.
 		_, _ = w.out.Write(batch)
+		w.unwritten.Add(int64(-n))
 		w.pending.Add(-n)
 	}
 }
--- a/proof/conductor/command.go
+++ b/proof/conductor/command.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/godwitrelay/godwitrelay/core/recorder"
 	"github.com/godwitrelay/godwitrelay/proof/forwarder"
 )
 
@@ -388,12 +389,12 @@
 //
 //	mark TARGET...
 //
-// It saves the number of tasks that each target has started, for
+// It saves the tasks that entries have sent to each target so far, for
 // expect-no-starts.
 func markCommand(d *Deployment, _ *testscript.TestScript, a *arguments) error {
 	return forEachProcess(d, a, func(p *process) error {
-		n, err := d.countStarts(p)
-		d.startMarks[p.name] = n
+		sent, err := d.tasksOn(p, recorder.TaskSent)
+		d.sentMarks[p.name] = sent
 		return err
 	})
 }
@@ -402,14 +403,28 @@
 //
 //	expect-no-starts TARGET...
 //
-// It fails if a target has started a task since it was marked.
+// It fails if a target has started a task that was sent to it after it was
+// marked.
 func expectNoStartsCommand(d *Deployment, _ *testscript.TestScript, a *arguments) error {
 	return forEachProcess(d, a, func(p *process) error {
-		n, err := d.countStarts(p)
-		if err == nil && n != d.startMarks[p.name] {
-			err = errors.Newf("target %s has started %d tasks since it was marked", p.name, n-d.startMarks[p.name])
+		started, err := d.tasksOn(p, recorder.TaskStarted)
+		if err != nil {
+			return err
 		}
-		return err
+		sent, err := d.tasksOn(p, recorder.TaskSent)
+		if err != nil {
+			return err
+		}
+		marks, n := d.sentMarks[p.name], 0
+		for t := range started {
+			if marks[t] == 0 || sent[t] > marks[t] {
+				n++
+			}
+		}
+		if n > 0 {
+			return errors.Newf("target %s has started %d tasks that were sent to it after it was marked", p.name, n)
+		}
+		return nil
 	})
 }
 
--- a/proof/conductor/condition.go
+++ b/proof/conductor/condition.go
@@ -121,6 +121,38 @@
 	return true, nil
 }
 
+// waitTargetsListed waits until every entry has read all running targets of its
+// failure domain from the platform. Until then it can't pass them on to an entry
+// that starts during an outage of the platform.
+func (d *Deployment) waitTargetsListed() error {
+	for _, name := range d.entryNames("") {
+		p := d.processes[name]
+		targets := d.runningTargets(p.domain)
+		err := d.poll(name+" to read the list of targets", func() (bool, error) {
+			s, err := d.entryStatus(name)
+			if err == nil && s.ListedTargets < targets {
+				err = errors.Newf("%s has read %d targets, %d are running", name, s.ListedTargets, targets)
+			}
+			return err == nil, err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// runningTargets returns the number of running targets of a failure domain.
+func (d *Deployment) runningTargets(domain string) int {
+	n := 0
+	for _, name := range d.processNames(domain) {
+		if p := d.processes[name]; p.callerAddress == "" && p.alive() && !p.frozen {
+			n++
+		}
+	}
+	return n
+}
+
 // brokerTargets returns the target states that each broker of a failure domain
 // reports, keyed by the broker's entry name and the target's address.
 func (d *Deployment) brokerTargets(domain string) (map[string]map[string]messenger.TargetState, error) {
@@ -215,18 +247,25 @@
 	return n, nil
 }
 
-// countStarts returns the number of tasks that a target has started.
-func (d *Deployment) countStarts(p *process) (int, error) {
+// task identifies a task of a job in the histories.
+type task struct {
+	jobID string
+	index int
+}
+
+// tasksOn returns how many records of the event on a target the histories have
+// for each task.
+func (d *Deployment) tasksOn(p *process, event recorder.Event) (map[task]int, error) {
 	h, err := checker.ReadAll(d.dir)
-	n := 0
+	tasks := map[task]int{}
 	for _, log := range h {
 		for _, r := range log.Records {
-			if r.Event == recorder.TaskStarted && r.Target == p.announcedAddress {
-				n++
+			if r.Event == event && r.Target == p.announcedAddress {
+				tasks[task{r.JobID, r.Task}]++
 			}
 		}
 	}
-	return n, err
+	return tasks, err
 }
 
 // waitAgreed waits until all ready entries have the same configuration version,
--- a/proof/conductor/deployment.go
+++ b/proof/conductor/deployment.go
@@ -61,8 +61,8 @@
 	platform  *process
 	processes map[string]*process
 	domains   []string
-	// startMarks are the start counts that the mark command saved, by target.
-	startMarks map[string]int
+	// sentMarks are the counts of sent tasks that the mark command saved, by target.
+	sentMarks map[string]map[task]int
 
 	mu   sync.Mutex
 	pids map[int]string
@@ -73,7 +73,7 @@
 func New(programs Programs, dir string, seed int64) *Deployment {
 	d := &Deployment{
 		programs: programs, dir: dir, rng: rand.New(rand.NewSource(seed)),
-		sequence: deploymentCount.Add(1), processes: map[string]*process{}, pids: map[int]string{}, startMarks: map[string]int{},
+		sequence: deploymentCount.Add(1), processes: map[string]*process{}, pids: map[int]string{}, sentMarks: map[string]map[task]int{},
 		client: messenger.Client{Transport: messenger.NewTransport(4, time.Second)},
 	}
 	d.network = forwarder.New(d.clientName)
@@ -123,7 +123,8 @@
 }
 
 // Deploy starts the platform, applies the first sheet, starts the entries and
-// targets, and waits until the deployment has settled (see waitSettled).
+// targets, and waits until the deployment has settled (see waitSettled) and all
+// entries have read the list of targets.
 func (d *Deployment) Deploy(l Layout) error {
 	d.layout = l
 	var err error
@@ -142,7 +143,10 @@
 			d.addTarget(fmt.Sprintf("%st%d", domain, n), domain)
 		}
 	}
-	return d.startAll()
+	if err := d.startAll(); err != nil {
+		return err
+	}
+	return d.waitTargetsListed()
 }
 
 func (d *Deployment) startAll() error {
--- a/proof/forwarder/connection.go
+++ b/proof/forwarder/connection.go
@@ -20,7 +20,7 @@
 
 	mu       sync.Mutex
 	requests requestTracker
-	// replyDropped is set when a drop rule has closed the client side. The server
+	// replyDropped is set when a drop rule closes the client side. The server
 	// side stays open until the server has replied, so that it completes the
 	// request as usual.
 	replyDropped bool
@@ -78,12 +78,13 @@
 			if !c.waitToSend(flow{c.from, c.to}) {
 				return
 			}
+			drop := c.trackRequest(buf[:size])
 			if _, err := c.server.Write(buf[:size]); err != nil {
 				_ = c.client.Close()
 				return
 			}
-			if path, complete := c.trackRequest(buf[:size]); complete && c.network.applyDropRule(flow{c.from, c.to}, path, AfterRequest) {
-				c.closeClient()
+			if drop {
+				_ = c.client.Close()
 				return
 			}
 		}
@@ -151,12 +152,18 @@
 	_ = c.client.Close()
 }
 
-// trackRequest returns the path of the current request and whether data
-// completes it.
-func (c *connection) trackRequest(data []byte) (string, bool) {
+// trackRequest records data that is about to be written to the server. It
+// returns true if data completes a request whose reply is to be dropped. It must
+// be called before the write, because the server may reply before the write
+// returns.
+func (c *connection) trackRequest(data []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.requests.feed(data)
+	path, complete := c.requests.feed(data)
+	if complete && c.network.applyDropRule(flow{c.from, c.to}, path, AfterRequest) {
+		c.replyDropped = true
+	}
+	return c.replyDropped
 }
 
 // waitToSend blocks during a partition and for the configured delay. It returns
