placer: stop long runs before their task starts again; limit hung runs

Cause: stop requests were sent for 15 s after the start of a run. A run that had to be stopped later than that counted as ended without a stop, and its task started again while it ran. Hung runs did not count towards MaxAttempts, so that a task that hangs everywhere was started until its deadline.

Change: stops are sent until one is confirmed, or until a list requested more than 15 s after the start, when no late start is left, does not show the run. A job fails when failed and hung runs of a task reach MaxAttempts.

--- a/entry/placer/doc.go
+++ b/entry/placer/doc.go
@@ -74,11 +74,11 @@
 	// stopRetryInterval is the delay between stop requests until one is
 	// confirmed.
 	stopRetryInterval = 150 * time.Millisecond
-	// stopRetryPeriod is how long after the start of a run stop requests are sent
-	// for it. Later, a run that should be stopped is treated as ended without
-	// one. A worker may execute an unanswered start request up to 12 s later.
+	// lateStartPeriod is how long after an unanswered start request the worker
+	// may still execute it, which takes up to 12 s. A run whose stop is not
+	// confirmed has ended only if a list requested later does not include it.
 	// Runs on a worker that has not responded for this long are discarded.
-	stopRetryPeriod = 15 * time.Second
+	lateStartPeriod = 15 * time.Second
 	// adoptionTimeout is how long runs from a previous owner wait to be matched
 	// with their jobs, and jobs with their runs. Callers resubmit a job after
 	// 1.3 s, and runs without a job must have been stopped by then.
--- a/entry/placer/owner.go
+++ b/entry/placer/owner.go
@@ -235,7 +235,7 @@
 	if result == HoldWrongWorker && w.phase == owned {
 		s.handleWorkerReplacement(now, w)
 	}
-	if w.unansweredHolds > lostAfterHolds && now.Sub(w.answeredAt) > stopRetryPeriod {
+	if w.unansweredHolds > lostAfterHolds && now.Sub(w.answeredAt) > lateStartPeriod {
 		w.resetRuns()
 	}
 }
--- a/entry/placer/rules_test.go
+++ b/entry/placer/rules_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/godwitrelay/godwitrelay/core/messenger"
 	"github.com/godwitrelay/godwitrelay/entry/placer"
 	"github.com/godwitrelay/godwitrelay/standin/fleet/executor"
 )
@@ -106,3 +107,41 @@
 	}
 	s.checkNoViolations(t)
 }
+
+// TestLongRunIsStopped guards against a second run of a task whose first run has
+// to be stopped long after its start. Such a run was considered ended without a
+// stop request, and the task started again while it was running.
+func TestLongRunIsStopped(t *testing.T) {
+	for name, faults := range map[string]faultRates{"stops arrive": {}, "stops are lost": {lostStops: 0.9}} {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(1, 4, 1)
+			s.deliver(s.owners[0], placer.Claim{WallMs: 1_700_000_000_000})
+			s.run(100 * time.Millisecond)
+			s.faults = faults
+			job := newJob("j0000", 1, 27000, 80_000)
+			job.RemainingMs, job.MaxAttempts = 200_000, 5
+			s.submit(s.owners[0], job, executor.Task{CPU: 27000, Duration: 80 * time.Second, Hangs: true})
+			s.run(60 * time.Second)
+			if s.startedRuns < 2 {
+				t.Errorf("%d runs were started, want the hung task to be started again", s.startedRuns)
+			}
+			s.checkNoViolations(t)
+		})
+	}
+}
+
+// TestHungRunsAreLimited guards against a task that hangs on every worker and is
+// started again until its caller's deadline.
+func TestHungRunsAreLimited(t *testing.T) {
+	s := newSimulation(1, 4, 1)
+	s.deliver(s.owners[0], placer.Claim{WallMs: 1_700_000_000_000})
+	s.run(100 * time.Millisecond)
+	job := newJob("j0000", 1, 27000, 60)
+	job.RemainingMs = 60_000
+	j := s.submit(s.owners[0], job, executor.Task{CPU: 27000, Duration: 60 * time.Millisecond, Hangs: true})
+	s.run(30 * time.Second)
+	if s.startedRuns != job.MaxAttempts {
+		t.Errorf("%d runs were started, want %d", s.startedRuns, job.MaxAttempts)
+	}
+	s.checkAnswer(t, j, messenger.MayHaveRun)
+}
--- a/entry/placer/runs.go
+++ b/entry/placer/runs.go
@@ -93,7 +93,7 @@
 		if listed[r.key] || r.state == starting || !r.startedAt.Before(msg.Sent) {
 			continue
 		}
-		if (r.state == stopping || r.state == unconfirmed) && !r.stopConfirmedBefore(msg.Sent) {
+		if (r.state == stopping || r.state == unconfirmed) && !r.stopConfirmedBefore(msg.Sent) && msg.Sent.Sub(r.startedAt) <= lateStartPeriod {
 			continue
 		}
 		w.removeRun(r)
@@ -190,17 +190,11 @@
 }
 
 // sendStop sends a stop request unless one was sent recently or has been
-// confirmed. If the run started more than stopRetryPeriod ago, no request is
-// sent and the run is treated as ended.
+// confirmed.
 func (s *State) sendStop(now time.Time, w *worker, r *run) {
 	if r.stopAttempts < 0 || w.phase != owned || (!r.stopSentAt.IsZero() && now.Sub(r.stopSentAt) < stopRetryInterval) {
 		return
 	}
-	if now.Sub(r.startedAt) > stopRetryPeriod {
-		w.removeRun(r)
-		s.handleRunEnd(now, w, r, EndExpired)
-		return
-	}
 	r.stopSentAt = now
 	r.stopAttempts++
 	s.emit(Stop{Worker: w.ID, Address: w.Address, Fence: w.fence, Key: r.key})
@@ -227,8 +221,8 @@
 }
 
 // stopHungRun stops a run that makes no progress. Its task is started again once
-// the run has ended or is treated as ended by sendStop, unless the run completed
-// after all. The hang itself does not count towards MaxAttempts.
+// the run has ended, unless the run completed after all. The job fails if failed
+// and hung runs of a task together reach MaxAttempts.
 func (s *State) stopHungRun(now time.Time, w *worker, r *run) {
 	s.log("run makes no progress", map[string]any{
 		"task": r.key.Task, "run": r.key.Number, "worker": w.ID, "percent": r.progressPercent, "ranMs": now.Sub(r.startedAt).Milliseconds(),
@@ -243,9 +237,7 @@
 	}
 	r.state = stopping
 	s.sendStop(now, w, r)
-	// This is only a safeguard: MaxAttempts is at least 1, and handleRunEnd ends
-	// a job as soon as one of its tasks has failed that often.
-	if t.failures >= j.MaxAttempts {
+	if t.failures+t.hungRuns >= j.MaxAttempts {
 		s.failJob(now, j, messenger.TargetLost, "a task makes no progress")
 	}
 }
--- a/entry/placer/worker.go
+++ b/entry/placer/worker.go
@@ -132,7 +132,7 @@
 
 // resetRuns discards everything known about the worker's runs, because this
 // entry is claiming the worker or no longer owns it, another worker replaced it,
-// or it has not responded for stopRetryPeriod.
+// or it has not responded for lateStartPeriod.
 func (w *worker) resetRuns() {
 	w.runs, w.unmatchedEnds, w.usedResources = map[RunKey]*run{}, map[RunKey]runEnd{}, Resources{}
 	w.lastEndIndex, w.runsUnknown = 0, false
