--- a/standin/fleet/listener/store.go
+++ b/standin/fleet/listener/store.go
@@ -6,15 +6,20 @@
 	"io"
 	"net/http"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 )
 
 // Store is a test double of the platform's store. It keeps the newest record of
-// each key of a topic. The zero value is an empty store.
+// each key of a topic, and the log of all records. The zero value is an empty
+// store.
 type Store struct {
 	mu     sync.Mutex
 	topics map[string]map[string][]byte
+	// logs holds the records of each topic from offset trimmed on.
+	logs    map[string][][]byte
+	trimmed map[string]int
 	// outageEnd is the end of a simulated outage.
 	outageEnd time.Time
 	reads     int
@@ -30,6 +35,10 @@
 	if s.topics[topic] == nil {
 		s.topics[topic] = map[string][]byte{}
 	}
+	if s.logs == nil {
+		s.logs, s.trimmed = map[string][][]byte{}, map[string]int{}
+	}
+	s.logs[topic] = append(s.logs[topic], append(append([]byte{byte(len(key))}, key...), value...))
 	if len(value) == 0 {
 		delete(s.topics[topic], key)
 		return
@@ -37,6 +46,15 @@
 	s.topics[topic][key] = value
 }
 
+// Trim deletes all records of a topic from the log. The newest record of each key
+// stays.
+func (s *Store) Trim(topic string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trimmed[topic] += len(s.logs[topic])
+	s.logs[topic] = nil
+}
+
 // StartOutage starts an outage, during which every request is rejected.
 func (s *Store) StartOutage(until time.Time) {
 	s.mu.Lock()
@@ -61,6 +79,7 @@
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /godwitrelay/log-newest", s.serveNewest)
+	mux.HandleFunc("GET /godwitrelay/log-read", s.serveLog)
 	mux.HandleFunc("POST /godwitrelay/log-append", s.serveAppend)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
@@ -79,11 +98,41 @@
 	defer s.mu.Unlock()
 	s.reads++
 	items := []newestItem{}
-	for key, value := range s.topics[r.URL.Query().Get("Topic")] {
+	topic := r.URL.Query().Get("Topic")
+	for key, value := range s.topics[topic] {
 		items = append(items, newestItem{Key: key, Value: value})
 	}
 	sort.Slice(items, func(a, b int) bool { return items[a].Key < items[b].Key })
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "HasMore": false, "End": len(items)})
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "HasMore": false, "End": s.trimmed[topic] + len(s.logs[topic])})
+}
+
+// serveLog replies with the end and the first retained offset of the log, followed
+// by the records from the given offset on.
+func (s *Store) serveLog(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	topic := r.URL.Query().Get("Topic")
+	from, err := strconv.Atoi(r.URL.Query().Get("From"))
+	first := s.trimmed[topic]
+	end := first + len(s.logs[topic])
+	switch {
+	case err != nil:
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	case from < first:
+		writeJSON(w, http.StatusGone, map[string]any{"First": first})
+		return
+	}
+	body := binary.BigEndian.AppendUint64(nil, uint64(end))
+	body = binary.BigEndian.AppendUint64(body, uint64(first))
+	for offset := from; offset < end; offset++ {
+		record := s.logs[topic][offset-first]
+		body = binary.BigEndian.AppendUint32(body, uint32(len(record)))
+		body = append(body, record...)
+	}
+	// Ignore write errors: the client has disconnected.
+	_, _ = w.Write(body)
 }
 
 // serveAppend stores records. Each has a 4-byte length prefix, followed by the key
