--- a/core/planner/cells.go
+++ b/core/planner/cells.go
@@ -152,9 +152,15 @@
 	return ""
 }
 
-// readRow assigns the cells of a record to the columns of the header.
+// readRow assigns the cells of a record to the columns of the header. Cells that
+// a short record leaves out are empty.
 func readRow(rowNumber int, header, record []string, report reportFunc) sheetRow {
 	row := sheetRow{number: rowNumber, cells: make(map[string]string, len(columns))}
+	for i := len(record); i < len(header); i++ {
+		if header[i] != "" {
+			row.cells[header[i]] = ""
+		}
+	}
 	for i, cell := range record {
 		switch {
 		case i < len(header) && header[i] != "":
--- a/core/planner/sheet_test.go
+++ b/core/planner/sheet_test.go
@@ -35,6 +35,15 @@
 	return cfg
 }
 
+// TestShortFirstRow guards against a sheet that is accepted as empty because its
+// first row is too short to have a cell in the column "row".
+func TestShortFirstRow(t *testing.T) {
+	cfg, err := ParseSheet([]byte("slots,service,name,priority,idempotent,maxRunMs,allowance,row\n12,s\n"))
+	if err == nil {
+		t.Errorf("the sheet was accepted as %+v", cfg)
+	}
+}
+
 // TestEquivalentSheets guards against different configurations from the same sheet
 // as exported by different programs.
 func TestEquivalentSheets(t *testing.T) {
@@ -52,6 +61,7 @@
 		"short rows":          strings.ReplaceAll(validSheet, "b,,,,,", "b"),
 		"other order":         headerRow + "team,,t,,4,,,\nrequest,s,r,urgent,,yes,1000,\nservice,s,,,10,,,500\ndomain,,b,,,,,\ndomain,,a,,,,,\nbudget,,,,12,,,\n",
 		"other column order":  "name,row,slots,service,priority,idempotent,allowance,maxRunMs\n,budget,12\na,domain\nb,domain\n,service,10,s,,,500\nr,request,,s,urgent,yes,,1000\nt,team,4\n",
+		"row column last":     "slots,service,name,priority,idempotent,maxRunMs,allowance,row\n,,\n,,a,,,,,domain\n,,b,,,,,domain\n12,,,,,,,budget\n10,s,,,,,500,service\n,s,r,urgent,yes,1000,,request\n4,,t,,,,,team\n",
 	}
 	for name, sheet := range variants {
 		t.Run(name, func(t *testing.T) {
--- a/core/planner/validate.go
+++ b/core/planner/validate.go
@@ -50,8 +50,8 @@
 	if !inRange(int64(s.Slots)) {
 		return errors.Newf("slots %d is out of range", s.Slots)
 	}
-	if s.AllowanceSlotSeconds < 0 {
-		return errors.Newf("allowanceSlotSeconds %d is negative", s.AllowanceSlotSeconds)
+	if s.AllowanceSlotSeconds < 0 || s.AllowanceSlotSeconds > maxAllowance {
+		return errors.Newf("allowanceSlotSeconds %d is out of range, want 0 to %d", s.AllowanceSlotSeconds, maxAllowance)
 	}
 	for name, r := range s.RequestTypes {
 		if r.Priority != messenger.Urgent && r.Priority != messenger.Bulk {
--- a/entry/broker/grant.go
+++ b/entry/broker/grant.go
@@ -17,11 +17,10 @@
 // its holder has left the membership. A live grant uses one slot of its target,
 // its service and its team. Each (job, task) pair has at most one.
 type grant struct {
-	id        uint64
-	job       *job
-	task      int
-	target    *target
-	grantedAt int64
+	id     uint64
+	job    *job
+	task   int
+	target *target
 	// expiresAt is when the grant is freed if its holder has left the membership.
 	expiresAt int64
 	ownerPos  int
@@ -47,7 +46,7 @@
 	g := s.newGrant()
 	// The second lease is a margin for the delay of the message and for
 	// clock drift.
-	*g = grant{id: id, job: j, task: task, target: t, grantedAt: s.now, expiresAt: s.now + 2*s.Settings.LeaseMs*ms}
+	*g = grant{id: id, job: j, task: task, target: t, expiresAt: s.now + 2*s.Settings.LeaseMs*ms}
 	s.grants[grantKey{j.id, task}] = g
 	p := j.owner
 	p.grants = append(p.grants, g)
--- a/entry/broker/health.go
+++ b/entry/broker/health.go
@@ -204,8 +204,7 @@
 	t.slow, t.slowCheckedAt = slow, s.now
 }
 
-// sweepTargets ends pauses, backoffs and other states whose time has passed, and
-// probes the target that is due next.
+// sweepTargets ends pauses, backoffs and other states whose time has passed.
 func (s *State) sweepTargets(svc *service) {
 	svc.removeGoneTargets()
 	for _, t := range svc.targetList {
@@ -213,19 +212,28 @@
 			svc.refresh(t)
 		}
 	}
-	if t := s.nextProbeTarget(svc); t != nil && s.now >= s.nextProbe {
+}
+
+// probeNext probes the target that is due next.
+func (s *State) probeNext() {
+	if s.now < s.nextProbe {
+		return
+	}
+	if t := s.nextProbeTarget(); t != nil {
 		t.probedAt, s.nextProbe = s.now, s.now+minProbeIntervalMs*ms
 		s.cmds = append(s.cmds, Probe{Target: t.address})
 	}
 }
 
-// nextProbeTarget returns the target that is due for a probe and whose last
-// contact or probe is the oldest, or nil.
-func (s *State) nextProbeTarget(svc *service) *target {
+// nextProbeTarget returns the target of any service that is due for a probe and
+// whose last contact or probe is the oldest, or nil.
+func (s *State) nextProbeTarget() *target {
 	var oldest *target
-	for _, t := range svc.targetList {
-		if s.probeDue(t) && (oldest == nil || max(t.lastContact, t.probedAt) < max(oldest.lastContact, oldest.probedAt)) {
-			oldest = t
+	for _, name := range s.serviceNames {
+		for _, t := range s.services[name].targetList {
+			if s.probeDue(t) && (oldest == nil || max(t.lastContact, t.probedAt) < max(oldest.lastContact, oldest.probedAt)) {
+				oldest = t
+			}
 		}
 	}
 	return oldest
--- a/entry/broker/state.go
+++ b/entry/broker/state.go
@@ -150,6 +150,7 @@
 	for _, name := range s.serviceNames {
 		s.sweepTargets(s.services[name])
 	}
+	s.probeNext()
 	s.sweepGrants()
 	s.refusedJobs.prune(s.now)
 }
--- a/entry/placer/health.go
+++ b/entry/placer/health.go
@@ -25,15 +25,11 @@
 type health struct {
 	consecutiveFailures int
 	quarantinedUntil    time.Time
-	// trial is unused: it is never set. maxRuns derives the limit after a
-	// quarantine from the other fields.
-	trial bool
 }
 
 // recordFailure records a failure that may have been caused by the worker.
 func (h *health) recordFailure(now time.Time) {
 	h.consecutiveFailures++
-	h.trial = false
 	if h.consecutiveFailures >= quarantineThreshold {
 		quarantine := initialQuarantine << min(h.consecutiveFailures-quarantineThreshold, 3)
 		h.quarantinedUntil = now.Add(min(quarantine, maxQuarantine))
--- a/proof/conductor/deployment.go
+++ b/proof/conductor/deployment.go
@@ -8,7 +8,6 @@
 	"math/rand"
 	"net"
 	"os"
-	"path/filepath"
 	"slices"
 	"sort"
 	"sync"
@@ -221,8 +220,5 @@
 	}
 }
 
-// HistoryDir returns the directory of the settings, logs and histories.
-func (d *Deployment) HistoryDir() string { return filepath.Clean(d.dir) }
-
 // hangTimer returns a channel that fires after hangTimeout.
 func (d *Deployment) hangTimer() <-chan time.Time { return time.After(hangTimeout) }
--- a/proof/conductor/operator.go
+++ b/proof/conductor/operator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -110,6 +111,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
-	_, err = d.client.Call(ctx, "GET", "http://"+p.controlAddress+"/operator/v1/status", nil, &s)
+	status, err := d.client.Call(ctx, "GET", "http://"+p.controlAddress+"/operator/v1/status", nil, &s)
+	if err == nil && status != http.StatusOK {
+		err = errors.Newf("the reply has status %d", status)
+	}
 	return s, errors.Wrapf(err, "requesting the status of %s", entry)
 }
