grouper, relayer: settle on the groups at once after a start, and keep them

After the start of all entries, each was assigned to two groups in turn, since it read the list of workers before the members; and an assignment that was overtaken by another one left the two reducers with different groups, so that entries without workers became owners.

Change: groups split from twice the capacity of the weakest entry on; members are read first; assignments are serialized; an owner that changes its group moves its jobs. A job waits for an owner as long as it can still meet its objective, 0.8 s at most.

--- a/entry/elector/owner.go
+++ b/entry/elector/owner.go
@@ -9,7 +9,7 @@
 		return
 	}
 	if s.isOwner {
-		s.release(now, false, "this entry was assigned to another worker group")
+		s.release(now, true, "this entry was assigned to another worker group")
 	}
 	s.group, s.failureDomain, s.groupAssigned = msg.Group, msg.FailureDomain, true
 	s.startedAt, s.searchSince = now, now
--- a/entry/grouper/grouper.go
+++ b/entry/grouper/grouper.go
@@ -6,7 +6,6 @@
 
 import (
 	"hash/fnv"
-	"slices"
 	"strconv"
 
 	"github.com/godwitrelay/godwitrelay/entry/elector"
@@ -14,11 +13,12 @@
 )
 
 const (
-	// A layout has too few groups if they exceed the capacity of an entry by
-	// splitPercent, and too many if half of them would be within mergePercent of
-	// the capacity. The distance keeps workers that come and go from changing the
-	// layout.
-	splitPercent = 125
+	// A layout has too few groups if they have more workers than splitPercent of
+	// the capacity of the weakest entry, and too many if half of them would have at
+	// most mergePercent. A change of the layout interrupts all jobs, so workers that
+	// come and go should not cause one. Only while a group has lost all stronger
+	// entries is its owner as weak as that.
+	splitPercent = 200
 	mergePercent = 60
 	// entriesPerGroup is the minimum mean number of entries in a group, so that
 	// a group is rarely left without an entry.
@@ -168,24 +168,17 @@
 
 // Assign returns the group of an entry. The entries of a failure domain are dealt
 // to its groups by their rank as owners, so that strong entries are spread evenly.
-// An entry that is not in the list is assigned by its address.
 func Assign(l Layout, self elector.Member, members []elector.Member) Group {
 	g := Group{Layout: l, FailureDomain: self.FailureDomain}
 	if l.Parts <= 1 {
 		return g
 	}
-	var peers []elector.Member
 	for _, m := range members {
-		if m.FailureDomain == self.FailureDomain {
-			peers = append(peers, m)
+		if m.FailureDomain == self.FailureDomain && m.Address != self.Address && elector.CompareRank(m, self) < 0 {
+			g.Index++
 		}
 	}
-	slices.SortFunc(peers, elector.CompareRank)
-	rank := slices.IndexFunc(peers, func(m elector.Member) bool { return m.Address == self.Address })
-	if rank < 0 {
-		rank = int(hashOf(self.Address) >> 1)
-	}
-	g.Index = rank % l.Parts
+	g.Index %= l.Parts
 	return g
 }
 
--- a/entry/relayer/follow.go
+++ b/entry/relayer/follow.go
@@ -105,6 +105,10 @@
 	if owner != r.Self.Address && owner != "" && len(r.workerList.Load().Workers) > 0 {
 		return
 	}
+	if r.members.Load() == nil {
+		// The layout of the groups depends on the members.
+		r.readMembers(ctx)
+	}
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	list, err := r.Store.Workers(call)
--- a/entry/relayer/group.go
+++ b/entry/relayer/group.go
@@ -75,8 +75,9 @@
 			d.DomainWorkers++
 		}
 	}
+	d.DomainEntries = 1
 	for _, m := range t.members {
-		if m.FailureDomain == t.self.FailureDomain {
+		if m.FailureDomain == t.self.FailureDomain && m.Address != t.self.Address {
 			d.DomainEntries++
 		}
 	}
@@ -102,11 +103,13 @@
 // is another one. The workers of the new group are then unknown until they are
 // read from the store or from the owner.
 func (r *Relayer) updateLayout(change func(grouper.Layout) grouper.Layout) grouper.Group {
+	r.assignMu.Lock()
+	defer r.assignMu.Unlock()
 	free := r.inFlight.Load() == 0 && !r.IsOwner()
 	group, changed := r.groups.update(time.Now(), free, change)
 	if changed {
 		r.Log.WithFields(logrus.Fields{"group": group.Name(), "leastCapacity": r.groups.leastCapacity.Load()}).Info("relayer: assigned to a worker group")
-		r.applyWorkerList(group, &lister.List{})
+		r.assign(group, &lister.List{})
 	}
 	return group
 }
@@ -135,14 +138,21 @@
 // applyWorkerList activates the list of the workers of a group, unless this entry
 // has moved to another group.
 func (r *Relayer) applyWorkerList(group grouper.Group, list *lister.List) {
-	if group != r.groups.current() {
-		return
+	r.assignMu.Lock()
+	defer r.assignMu.Unlock()
+	if group == r.groups.current() {
+		r.assign(group, list)
 	}
+}
+
+// assign tells both reducers the group of this entry and its workers. The caller
+// holds assignMu, so that the reducers learn of changes in their order.
+func (r *Relayer) assign(group grouper.Group, list *lister.List) {
 	r.workerList.Store(list)
 	domain := group.FailureDomain
 	if group.Layout.Parts == 0 {
 		domain = ""
 	}
-	r.post(elector.GroupAssigned{Group: group.Name(), FailureDomain: domain, CanOwn: len(list.Workers) > 0})
 	r.post(placer.WorkersListed{Workers: list.Workers})
+	r.post(elector.GroupAssigned{Group: group.Name(), FailureDomain: domain, CanOwn: len(list.Workers) > 0})
 }
--- a/entry/relayer/relayer.go
+++ b/entry/relayer/relayer.go
@@ -97,6 +97,8 @@
 	// workerList is the list of the workers of this entry's group.
 	workerList atomic.Pointer[lister.List]
 	groups     groupTracker
+	// assignMu serializes changes of the group and its workers.
+	assignMu   sync.Mutex
 	view       atomic.Pointer[elector.View]
 	members    atomic.Pointer[[]elector.Member]
 	neighbours spiller.State
--- a/entry/relayer/submit.go
+++ b/entry/relayer/submit.go
@@ -14,9 +14,12 @@
 )
 
 const (
-	// ownerTimeout is how long a job waits for an owner. A planned handover
-	// takes a few milliseconds, replacing a lost owner half a second.
+	// ownerTimeout is how long a job waits for an owner, or longer if it can still
+	// meet its latency objective then (see ownerWait). A planned handover takes a
+	// few milliseconds, replacing a lost owner half a second.
 	ownerTimeout = 250 * time.Millisecond
+	// maxOwnerWait limits how long a job waits for an owner.
+	maxOwnerWait = 800 * time.Millisecond
 	// retryInterval is the delay before a job that no owner accepted is
 	// submitted again.
 	retryInterval = 15 * time.Millisecond
@@ -71,7 +74,7 @@
 	}()
 	began := time.Now()
 	deadline := began.Add(time.Duration(job.RemainingMs) * time.Millisecond)
-	retryUntil := began.Add(ownerTimeout)
+	retryUntil := began.Add(ownerWait(job))
 	var placements []placer.Placement
 	ownerLost := false
 	for first := true; ; first = false {
@@ -123,6 +126,13 @@
 	}
 }
 
+// ownerWait returns how long a job may wait for an owner: the delay after which it
+// still meets its latency objective, if that is longer than ownerTimeout.
+func ownerWait(job placer.Job) time.Duration {
+	delay := time.Duration(job.TargetLatencyMs)*time.Millisecond + time.Duration((job.Stretch-1)*float64(job.EstimateMs)*float64(time.Millisecond))
+	return min(max(delay, ownerTimeout), maxOwnerWait)
+}
+
 // errNotAccepted means that the job was definitely not accepted and can safely
 // be submitted again.
 var errNotAccepted = errors.New("no owner accepted the job")
