--- a/entry/placer/policy_test.go
+++ b/entry/placer/policy_test.go
@@ -263,3 +263,34 @@
 		t.Errorf("answers %+v, want completed", late.answers)
 	}
 }
+
+// TestQueuedTooLong guards against an owner that starts jobs which waited so long
+// for its event loop that they can't be in time, and so stays behind. The refusal
+// says that the job did not run, which it never does later.
+func TestQueuedTooLong(t *testing.T) {
+	s := newOwnedSimulation(1)
+	submit := func(id string, queued time.Duration, placements ...placer.Placement) *submittedJob {
+		j := &submittedJob{job: newJob(id, 2, 27000, 60), task: executor.Task{CPU: 27000, Duration: 60 * time.Millisecond}, submittedAt: s.now}
+		s.jobs[id] = j
+		s.lastWaiter++
+		s.waiters[s.lastWaiter] = j
+		s.deliver(s.owners[0], placer.Submit{Waiter: s.lastWaiter, QueuedAt: s.now.Add(-queued), Entry: "e0", Job: j.job, Placements: placements})
+		s.run(2 * time.Second)
+		return j
+	}
+	for _, c := range []struct {
+		queued  time.Duration
+		refused bool
+	}{{0, false}, {5 * time.Millisecond, false}, {200 * time.Millisecond, true}, {3 * time.Second, true}} {
+		j := submit(fmt.Sprintf("j%05d", len(s.jobs)), c.queued)
+		refused := len(j.answers) == 1 && j.answers[0].Err != nil && j.answers[0].Err.Kind == messenger.Overloaded && j.answers[0].Err.Ran == messenger.DidNotRun
+		if refused != c.refused || refused != j.lastRunAt.IsZero() {
+			t.Errorf("queued for %v: answers %+v, ran %v; want refused %v", c.queued, j.answers, !j.lastRunAt.IsZero(), c.refused)
+		}
+	}
+	moved := submit("j00099", time.Second, placer.Placement{Task: 0, Worker: "w00", Number: 1}, placer.Placement{Task: 1, Worker: "w01", Number: 1})
+	if len(moved.answers) == 1 && moved.answers[0].Err != nil && moved.answers[0].Err.Ran == messenger.DidNotRun {
+		t.Errorf("a job that ran under a previous owner was answered with %v", moved.answers[0].Err)
+	}
+	s.checkNoViolations(t)
+}
