--- a/entry/grouper/grouper.go
+++ b/entry/grouper/grouper.go
@@ -21,9 +21,6 @@
 	// entries is its owner as weak as that.
 	splitPercent = 200
 	mergePercent = 60
-	// splitSinglePercent replaces splitPercent for the group of all workers. A
-	// deployment starts with few workers and therefore with that group.
-	splitSinglePercent = 125
 	// entriesPerGroup is the minimum mean number of entries in a group, so that
 	// a group is rarely left without an entry.
 	entriesPerGroup = 3
@@ -81,7 +78,7 @@
 		return Layout{Parts: min(partsFor(d.DomainWorkers, capacity), most), Known: true}
 	}
 	if l.Parts == 0 {
-		if 100*d.Workers <= splitSinglePercent*capacity {
+		if 100*d.Workers <= splitPercent*capacity {
 			return l
 		}
 		return Layout{}.Next(d)
@@ -135,44 +132,10 @@
 	return l
 }
 
-// Report is what another entry reports about its layout.
-type Report struct {
-	Layout Layout
-	// SameDomain is set if the entry is in the same failure domain.
-	SameDomain bool
-	// HasOwner is set if the entry has an owner, and IsOwner if it is one itself.
-	HasOwner, IsOwner bool
-}
-
-// Role is the part of an entry in its group.
-type Role int
-
-// Roles of an entry. A follower adopts the layout of its owner only.
-const (
-	Ownerless Role = iota
-	Owner
-	FollowerOfOther
-	FollowerOfReporter
-)
-
-// Adopt returns the layout of an entry with the given role after it received a
-// report. An entry that starts chooses a layout by itself, which may differ from
-// that of the running entries. It takes theirs, so that its start does not divide
-// their groups anew. Of two owners, both take the layout with more groups.
-func (l Layout) Adopt(role Role, r Report) Layout {
-	if !r.Layout.Valid() {
-		return l
-	}
-	if !r.SameDomain {
-		// Another failure domain only tells whether a group may span both.
-		r.Layout.Parts = min(r.Layout.Parts, 1)
-	}
-	switch {
-	case role == FollowerOfReporter, role == Ownerless && r.HasOwner && r.SameDomain:
-		return r.Layout
-	case role == Ownerless, role == Owner && r.IsOwner:
-		return l.Merge(r.Layout)
-	}
+// ForeignLayout returns what the layout of another failure domain says about
+// this one: whether a group may span both.
+func (l Layout) ForeignLayout() Layout {
+	l.Parts = min(l.Parts, 1)
 	return l
 }
 
--- a/entry/relayer/follow.go
+++ b/entry/relayer/follow.go
@@ -124,14 +124,7 @@
 		return
 	}
 	d := r.groups.deployment(workers)
-	owner := r.IsOwner()
-	group := r.updateLayout(func(l grouper.Layout) grouper.Layout {
-		if l.Known && !owner {
-			// Only owners change the layout.
-			return l
-		}
-		return r.settler.Next(time.Now(), l, d)
-	})
+	group := r.updateLayout(func(l grouper.Layout) grouper.Layout { return r.settler.Next(time.Now(), l, d) })
 	old := r.workerList.Load()
 	if next := old.Replace(r.Self.Incarnation, group.Select(workers)); next != old {
 		r.applyWorkerList(group, next)
--- a/entry/relayer/group.go
+++ b/entry/relayer/group.go
@@ -114,24 +114,24 @@
 	return group
 }
 
-// adoptLayout handles the layout that another entry reports.
+// adoptLayout handles the layout that another entry reports. A follower adopts
+// that of its owner. Owners, and entries without an owner, adopt one with more
+// groups; only owners return to fewer groups, as they read the list of workers.
 func (r *Relayer) adoptLayout(b heartbeat) {
 	r.groups.lowerCapacity(b.LeastCapacity)
-	group, role := r.groups.current(), grouper.FollowerOfOther
-	switch owner := r.ownership.Load().address; owner {
-	case "":
-		role = grouper.Ownerless
-	case r.Self.Address:
-		role = grouper.Owner
-	case b.View.From.Address:
-		role = grouper.FollowerOfReporter
+	group, layout := r.groups.current(), b.Layout
+	if b.View.From.FailureDomain != group.FailureDomain {
+		layout = layout.ForeignLayout()
 	}
-	report := grouper.Report{
-		Layout: b.Layout, SameDomain: b.View.From.FailureDomain == group.FailureDomain,
-		HasOwner: b.View.Owner != "", IsOwner: b.View.ClaimedAtMs != 0,
+	if !layout.Valid() || layout == group.Layout {
+		return
 	}
-	if group.Layout.Adopt(role, report) != group.Layout {
-		r.updateLayout(func(l grouper.Layout) grouper.Layout { return l.Adopt(role, report) })
+	owner := r.ownership.Load().address
+	switch {
+	case owner == b.View.From.Address && owner != r.Self.Address:
+		r.updateLayout(func(grouper.Layout) grouper.Layout { return layout })
+	case owner == "", r.IsOwner() && b.View.ClaimedAtMs != 0:
+		r.updateLayout(layout.Merge)
 	}
 }
 
