--- a/entry/placer/owner.go
+++ b/entry/placer/owner.go
@@ -206,9 +206,10 @@
 	if w.lost {
 		// This entry could not reach the worker. The new owner is on the worker's
 		// side of a partition. Once the entries are in contact, the new owner
-		// releases its workers and moves its jobs here. Reclaiming the worker before that would end those jobs, so this
-		// entry waits for reclaimDelay. WorkerTakenOver is not emitted because
-		// it may cause a Claim, which reclaims released workers immediately.
+		// releases its workers and moves its jobs here. Reclaiming the worker before
+		// that would end those jobs, so this entry waits for reclaimDelay.
+		// WorkerTakenOver is not emitted because it may cause a Claim, which reclaims
+		// released workers immediately.
 		w.phase, w.holdPending, w.unansweredHolds, w.lost, w.nextHoldAt = released, false, 0, false, now.Add(reclaimDelay)
 		w.resetRuns()
 		return
