relayer: read the configuration again soon after a read without an answer

An entry whose store connections went silent had a new configuration in force late: each read waited 1 s for its answer and the next one began up to 0.9 s later, so that two lost answers in a row cost more than the 2 s within which a configuration must be in force.

The timeout of a read now begins at 250 ms and the delay until the next one at 100 ms; both double with each failure, up to 1 s and 0.9 s. Two lost answers cost 1.05 s.

--- a/entry/relayer/follow.go
+++ b/entry/relayer/follow.go
@@ -14,6 +14,13 @@
 	// configurationInterval is the polling interval of the configuration, which
 	// must be active on all entries within 2 s.
 	configurationInterval = 900 * time.Millisecond
+	// firstReadTimeout is the timeout of a read of the configuration, and
+	// firstRetryInterval the interval until the next one if it fails. Both double
+	// with each failure in a row, up to storeTimeout and configurationInterval: a
+	// lost answer must not cost much of the 2 s, and a store that is slow must not
+	// be given up too early.
+	firstReadTimeout   = 250 * time.Millisecond
+	firstRetryInterval = 100 * time.Millisecond
 	// workersInterval is the polling interval of the worker list on the owner.
 	// Work on a draining worker must end within 2 s.
 	workersInterval = 600 * time.Millisecond
@@ -30,7 +37,7 @@
 // and the member list up to date.
 func (r *Relayer) pollStore(ctx context.Context) {
 	go r.announce(ctx)
-	go runEvery(ctx, configurationInterval, func() { r.readConfiguration(ctx) })
+	go r.pollConfiguration(ctx)
 	go runEvery(ctx, workersInterval, func() { r.readWorkers(ctx) })
 	var lastMembers time.Time
 	runEvery(ctx, membersInterval, func() {
@@ -73,14 +80,48 @@
 	}
 }
 
-func (r *Relayer) readConfiguration(ctx context.Context) {
-	call, cancel := context.WithTimeout(ctx, storeTimeout)
+// pollConfiguration reads the configuration until ctx ends.
+func (r *Relayer) pollConfiguration(ctx context.Context) {
+	for failures := 0; ; {
+		next := time.Now().Add(configurationInterval)
+		if r.readConfiguration(ctx, readTimeout(failures)) {
+			failures = 0
+		} else {
+			next = time.Now().Add(readRetryDelay(failures))
+			failures++
+		}
+		select {
+		case <-time.After(time.Until(next)):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// readTimeout returns the timeout of a read after a number of failures in a row.
+func readTimeout(failures int) time.Duration {
+	return min(firstReadTimeout<<min(failures, maxDoublings), storeTimeout)
+}
+
+// readRetryDelay returns the time from the end of a failed read to the next one.
+func readRetryDelay(failures int) time.Duration {
+	return min(firstRetryInterval<<min(failures, maxDoublings), configurationInterval)
+}
+
+// maxDoublings keeps shifted durations from overflowing.
+const maxDoublings = 8
+
+// readConfiguration reads the configuration from the store and reports whether it
+// succeeded.
+func (r *Relayer) readConfiguration(ctx context.Context, timeout time.Duration) bool {
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	cfg, err := r.Store.Configuration(call)
 	r.recordStoreStatus("configuration", err)
 	if err == nil {
 		r.applyConfiguration(cfg, "store")
 	}
+	return err == nil
 }
 
 // applyConfiguration activates a configuration if it is newer than the active
