relayer: confirm the configuration before a request is handled with an old one

Callers of an entry that had been paused for 2 s got 404 for a queue that had been added meanwhile, and were served by one that had been removed: nothing bounded the age of the configuration that a request is handled with. The first requests after a pause ran before the next read of the store, and an entry whose reads failed answered 404 as if it knew that there is no such queue.

confirmer.State records when the active configuration was last known to be the newest one: when a read of the store that succeeded was sent, or what another entry reports in the reply to a heartbeat, less the time since that was sent. The clock counts suspended time. A configuration confirmed within the platform's ConfigApplyMs before a request has every change that the request must see. If nobody was asked for that long, the request waits for a read; if reads were tried and failed, known queues are served as before and unknown ones get 503 instead of 404.

--- a/entry/exporter/exporter.go
+++ b/entry/exporter/exporter.go
@@ -110,7 +110,9 @@
 // targets.
 type Ownership struct {
 	ConfigVersion int64
-	Owner         bool
+	// ConfigAge is how long ago ConfigVersion was known to be the newest version.
+	ConfigAge time.Duration
+	Owner     bool
 	// Workers is the number of workers in the group; Reachable is the number of
 	// those that answer this entry as their owner.
 	Workers, Reachable int
@@ -132,7 +134,7 @@
 		owner = 1
 	}
 	for state, v := range map[string]float64{
-		"owner": owner, "workers": float64(o.Workers), "reachable_workers": float64(o.Reachable),
+		"owner": owner, "config_age_seconds": o.ConfigAge.Seconds(), "workers": float64(o.Workers), "reachable_workers": float64(o.Reachable),
 		"waiting_jobs": float64(o.Waiting), "loop_lag_seconds": o.Lag.Seconds(),
 		"queued_jobs": float64(o.Queued), "worker_response_seconds": o.ResponseTime.Seconds(),
 	} {
--- a/entry/relayer/follow.go
+++ b/entry/relayer/follow.go
@@ -116,12 +116,16 @@
 func (r *Relayer) readConfiguration(ctx context.Context, timeout time.Duration) bool {
 	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	sentAt := timeSinceBoot()
 	cfg, err := r.Store.Configuration(call)
 	r.recordStoreStatus("configuration", err)
-	if err == nil {
-		r.applyConfiguration(cfg, "store")
+	if err != nil {
+		r.confirmations.Fail(timeSinceBoot())
+		return false
 	}
-	return err == nil
+	r.applyConfiguration(cfg, "store")
+	r.confirmations.Confirm(sentAt)
+	return true
 }
 
 // applyConfiguration activates a configuration if it is newer than the active
--- a/entry/relayer/peer.go
+++ b/entry/relayer/peer.go
@@ -33,9 +33,11 @@
 
 // heartbeat is the body of a ping between entries and of its reply.
 type heartbeat struct {
-	View           elector.View `json:"view"`
-	ConfigVersion  int64        `json:"configVersion"`
-	WorkersVersion uint64       `json:"workersVersion"`
+	View          elector.View `json:"view"`
+	ConfigVersion int64        `json:"configVersion"`
+	// ConfigAgeMs is how long ago ConfigVersion was known to be the newest version.
+	ConfigAgeMs    *int64 `json:"configAgeMs,omitempty"`
+	WorkersVersion uint64 `json:"workersVersion"`
 	// WorkersAuthor is the incarnation of the entry that assigned WorkersVersion.
 	WorkersAuthor uint64 `json:"workersAuthor"`
 	WorkersDigest uint64 `json:"workersDigest,omitempty"`
@@ -57,8 +59,13 @@
 		View: *r.view.Load(), WorkersVersion: workers.Number, WorkersAuthor: workers.Author, WorkersDigest: workers.Digest,
 		Layout: r.groups.current().Layout, LeastCapacity: r.groups.leastCapacity.Load(), Fence: r.fence.Load(),
 	}
+	// The age is read first: a newer configuration may be applied in between.
+	age, known := r.confirmations.Age(timeSinceBoot())
 	if cfg := r.configuration.Load(); cfg != nil {
 		b.ConfigVersion = cfg.Version
+		if ms := age.Milliseconds() + 1; known {
+			b.ConfigAgeMs = &ms
+		}
 	}
 	if b.View.ClaimedAtMs != 0 {
 		// This entry is an owner.
@@ -85,6 +92,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
 	var reply heartbeat
+	sentAt := timeSinceBoot()
 	status, err := r.Peers.Call(ctx, http.MethodPost, "http://"+address+"/peer/v1/beat", r.heartbeat(), &reply)
 	if err == nil && status != http.StatusOK {
 		err = errors.Newf("status %d", status)
@@ -98,6 +106,7 @@
 	r.post(elector.PingAnswered{View: reply.View})
 	r.updateNeighbours(address, reply)
 	r.fetchNewer(address, reply)
+	r.confirmAs(sentAt, reply)
 }
 
 func (b heartbeat) workersVersion() lister.Version {
--- a/entry/relayer/relayer.go
+++ b/entry/relayer/relayer.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/singleflight"
 	"golang.org/x/sys/unix"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
+	"github.com/godwitrelay/godwitrelay/entry/confirmer"
 	"github.com/godwitrelay/godwitrelay/entry/elector"
 	"github.com/godwitrelay/godwitrelay/entry/exporter"
 	"github.com/godwitrelay/godwitrelay/entry/grouper"
@@ -80,6 +82,9 @@
 	Peers   messenger.Client
 	Metrics *exporter.Exporter
 	Log     *logrus.Logger
+	// ConfigApplyLimit is the time within which a configuration must be in force
+	// after it was acknowledged. 0 means confirmer.DefaultMaxAge.
+	ConfigApplyLimit time.Duration
 
 	placer  *placer.State
 	elector *elector.State
@@ -95,6 +100,10 @@
 	lastWaiter atomic.Uint64
 
 	configuration atomic.Pointer[router.Configuration]
+	// confirmations holds when the active configuration was last known to be the
+	// newest one, and confirmation the read that requests wait for.
+	confirmations confirmer.State
+	confirmation  singleflight.Group
 	// workerList is the list of the workers of this entry's group.
 	workerList atomic.Pointer[lister.List]
 	groups     groupTracker
@@ -137,6 +146,7 @@
 	r.elector = elector.New(now, r.Self)
 	r.events, r.submissions = make(chan any, eventQueueSize), make(chan any, submissionQueueSize)
 	r.done, r.forceStop = make(chan struct{}), make(chan struct{})
+	r.confirmations.MaxAge = r.ConfigApplyLimit
 	r.groups.init(now, r.Self)
 	r.ownership.Store(&ownership{changed: make(chan struct{})})
 	r.workerList.Store(&lister.List{})
@@ -221,6 +231,7 @@
 	if cfg := r.configuration.Load(); cfg != nil {
 		o.ConfigVersion = cfg.Version
 	}
+	o.ConfigAge, _ = r.confirmations.Age(timeSinceBoot())
 	r.Metrics.SetOwnership(o)
 }
 
@@ -259,11 +270,8 @@
 // suspendedTime returns the total time for which the machine has been
 // suspended, plus a constant.
 func suspendedTime() time.Duration {
-	var boot, steady unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil {
-		return 0
-	}
-	return time.Duration(boot.Nano() - steady.Nano())
+	steady := readClock(unix.CLOCK_MONOTONIC)
+	return timeSinceBoot() - steady
 }
 
 // post queues an event for the loop.
@@ -372,10 +380,6 @@
 	}
 }
 
-// Configuration returns the active configuration, or nil before the first one
-// has been loaded.
-func (r *Relayer) Configuration() *router.Configuration { return r.configuration.Load() }
-
 // Ready reports whether this entry may receive requests from callers.
 func (r *Relayer) Ready() bool {
 	return !r.draining.Load() && r.configuration.Load() != nil && r.ownership.Load().address != ""
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,10 +57,7 @@
 // runs must end. GODWIT_SEED sets the first seed; with it, GODWIT_SEEDS sets the
 // number of seeds. GODWIT_SECONDS sets the duration of fault injection per seed.
 func TestSoak(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "entry")
-	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "../platform").CombinedOutput(); err != nil {
-		t.Fatalf("building the entry program: %v\n%s", err, out)
-	}
+	program := buildEntry(t)
 	seeds := ciSeeds
 	if first := envInt("GODWIT_SEED", 0); first != 0 {
 		seeds = nil
@@ -73,6 +70,16 @@
 	}
 }
 
+// buildEntry builds the entry program and returns its path.
+func buildEntry(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "entry")
+	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "../platform").CombinedOutput(); err != nil {
+		t.Fatalf("building the entry program: %v\n%s", err, out)
+	}
+	return program
+}
+
 func runSeed(t *testing.T, program string, seed int64) {
 	d := deploy(t, program, 5, 8)
 	d.awaitService("the start")
