relayer: an owner fetches the configuration of a job before it starts it

An owner ran jobs of queues that its own configuration did not have yet: the queue is found by the caller's entry, and the owner heard of the newer version with a heartbeat and a fetch later. Until then workers saw the effect of the new version, while the owner answered its own callers by the old one.

A job carries the version by which its queue was found. An owner with an older version fetches that one from the job's entry first; if it can't, the job is not accepted, has not run, and is submitted again. Jobs with runs are taken over in any case.

--- a/entry/placer/job.go
+++ b/entry/placer/job.go
@@ -25,10 +25,13 @@
 	Spec string `json:"spec,omitempty"`
 	// Queue is the name of the configured queue that the job belongs to. The
 	// list of jobs that wait for workers is State.waiting.
-	Queue     string    `json:"queue"`
-	Service   string    `json:"service"`
-	Tasks     int       `json:"tasks"`
-	Resources Resources `json:"room"`
+	Queue string `json:"queue"`
+	// ConfigVersion is the version of the configuration by which the queue was
+	// found, or 0 if it is unknown.
+	ConfigVersion int64     `json:"configVersion,omitempty"`
+	Service       string    `json:"service"`
+	Tasks         int       `json:"tasks"`
+	Resources     Resources `json:"room"`
 	// EstimateMs is the caller's estimate of a task's run time.
 	EstimateMs int64 `json:"estimateMs,omitempty"`
 	// Label is a label the worker must have, or empty for any worker.
--- a/entry/relayer/configuration.go
+++ b/entry/relayer/configuration.go
@@ -31,7 +31,7 @@
 		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 		defer cancel()
 		select {
-		case <-r.confirmation.DoChan("", r.confirm):
+		case <-r.configurationReads.DoChan("", r.confirm):
 		case <-ctx.Done():
 		}
 		decision = r.confirmations.Decide(timeSinceBoot())
@@ -50,6 +50,28 @@
 	return nil, nil
 }
 
+// catchUp fetches the configuration from another entry if that one has a newer
+// version, and reports whether the active version is at least the given one.
+// Workers see the effect of a version through their owner, so an owner must not
+// start a job of a version that it would then deny to its own callers.
+func (r *Relayer) catchUp(address string, version int64) bool {
+	has := func() bool {
+		cfg := r.configuration.Load()
+		return version <= 0 || (cfg != nil && cfg.Version >= version)
+	}
+	if has() {
+		return true
+	}
+	_, _, _ = r.configurationReads.Do(address, func() (any, error) {
+		var cfg router.Configuration
+		if !has() && r.fetch(address, "/peer/v1/configuration", &cfg) {
+			r.applyConfiguration(cfg, address)
+		}
+		return nil, nil
+	})
+	return has()
+}
+
 // confirmAs records what another entry reported about its configuration in the
 // reply to a heartbeat sent at the given time since boot.
 func (r *Relayer) confirmAs(sentAt time.Duration, b heartbeat) {
--- a/entry/relayer/peer.go
+++ b/entry/relayer/peer.go
@@ -16,7 +16,6 @@
 	"github.com/godwitrelay/godwitrelay/entry/grouper"
 	"github.com/godwitrelay/godwitrelay/entry/lister"
 	"github.com/godwitrelay/godwitrelay/entry/placer"
-	"github.com/godwitrelay/godwitrelay/entry/router"
 	"github.com/godwitrelay/godwitrelay/entry/spiller"
 )
 
@@ -117,13 +116,7 @@
 // if its heartbeat reports different versions: a newer configuration from any
 // entry, the worker list from the owner only.
 func (r *Relayer) fetchNewer(address string, b heartbeat) {
-	cfg := r.configuration.Load()
-	if b.ConfigVersion > 0 && (cfg == nil || b.ConfigVersion > cfg.Version) {
-		var cfg router.Configuration
-		if r.fetch(address, "/peer/v1/configuration", &cfg) {
-			r.applyConfiguration(cfg, address)
-		}
-	}
+	r.catchUp(address, b.ConfigVersion)
 	have := r.workerList.Load()
 	if r.ownership.Load().address == address && r.Self.Address != address && b.WorkersVersion > 0 && !have.Version.SameWorkers(b.workersVersion()) {
 		group := r.groups.current()
@@ -204,6 +197,10 @@
 		messenger.WriteJSON(w, refusal.Status(), refusal)
 		return
 	}
+	if !r.catchUp(s.Entry, s.Job.ConfigVersion) && len(s.Placements) == 0 {
+		messenger.WriteJSON(w, http.StatusOK, placer.Result{Err: messenger.NewError(messenger.NoTarget, "the owner lacks the configuration of the job")})
+		return
+	}
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	result := r.submitLocally(req.Context(), placer.Submit{Entry: s.Entry, Job: s.Job, Placements: s.Placements}, reconnectGrace)
--- a/entry/relayer/relayer.go
+++ b/entry/relayer/relayer.go
@@ -101,9 +101,10 @@
 
 	configuration atomic.Pointer[router.Configuration]
 	// confirmations holds when the active configuration was last known to be the
-	// newest one, and confirmation the read that requests wait for.
-	confirmations confirmer.State
-	confirmation  singleflight.Group
+	// newest one, and configurationReads the reads that requests wait for: by the
+	// address of another entry, or "" for the store.
+	confirmations      confirmer.State
+	configurationReads singleflight.Group
 	// workerList is the list of the workers of this entry's group.
 	workerList atomic.Pointer[lister.List]
 	groups     groupTracker
--- a/entry/relayer/submit_test.go
+++ b/entry/relayer/submit_test.go
@@ -87,19 +87,14 @@
 	messenger.WriteJSON(w, http.StatusOK, answer)
 }
 
-// submitTo starts an entry that follows the owner and submits a job of two
-// tasks to it.
-func submitTo(t *testing.T, o *scriptedOwner) placer.Result {
+// startReadyEntry starts an entry and waits until it is ready. Without seeds it becomes
+// the owner.
+func startReadyEntry(t *testing.T, seeds []string) *relayer.Relayer {
 	t.Helper()
-	server := httptest.NewUnstartedServer(o)
-	server.Config.ErrorLog = nil
-	server.Start()
-	t.Cleanup(server.Close)
-	o.address = server.Listener.Addr().String()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	r := &relayer.Relayer{
-		Self: elector.Member{Address: "127.0.0.1:1", FailureDomain: "patan", Incarnation: 1}, Seeds: []string{o.address},
+		Self: elector.Member{Address: "127.0.0.1:1", FailureDomain: "patan", Incarnation: 1}, Seeds: seeds,
 		Workers: silentWorkers{}, Store: fixedStore{}, Peers: messenger.Client{Transport: relayer.NewTransport(4, time.Second)},
 		Metrics: exporter.New(), Log: log,
 	}
@@ -112,6 +107,19 @@
 			t.Fatal("the entry found no owner")
 		}
 	}
+	return r
+}
+
+// submitTo starts an entry that follows the owner and submits a job of two
+// tasks to it.
+func submitTo(t *testing.T, o *scriptedOwner) placer.Result {
+	t.Helper()
+	server := httptest.NewUnstartedServer(o)
+	server.Config.ErrorLog = nil
+	server.Start()
+	t.Cleanup(server.Close)
+	o.address = server.Listener.Addr().String()
+	r := startReadyEntry(t, []string{o.address})
 	return r.Submit(t.Context(), placer.Job{ID: "00000000000000aa", Queue: "q", Service: "router", Tasks: 2, RemainingMs: 3000})
 }
 
