placer: give up a task under which two workers have crashed

A task that crashes the worker that runs it was started again without a limit: when its worker had restarted, and whenever its caller submitted the job again after the 502. Nothing counted the crashes, so that one job could take worker after worker out of service.

A crash is identified by task, worker and incarnation, so that it counts once however often it is noticed. A job with a task under which two workers have crashed is answered as failed, at once when it is submitted again. Workers that leave on purpose don't count.

A task that was only beside the one that crashed both workers is given up too; the rule allows it, and nothing tells the two apart yet.

--- /dev/null
+++ b/entry/placer/crashes.go
@@ -0,0 +1,165 @@
+package placer
+
+import (
+	"cmp"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+)
+
+const (
+	// maxCrashes is the number of workers that may crash under a task before its
+	// job is given up.
+	maxCrashes = 2
+	// crashRetention is how long a crash is remembered. Callers submit a job again
+	// within seconds.
+	crashRetention = 2 * time.Minute
+	// maxCrashRecords limits the number of crashes that are remembered. The oldest
+	// are forgotten first.
+	maxCrashRecords = 2048
+)
+
+// Crash says that a task was running on a worker when that crashed. Entries
+// exchange crashes, so that the next owner knows them.
+type Crash struct {
+	Task   string `json:"task"`
+	Worker string `json:"worker"`
+	// StartedAtMs identifies the incarnation of the worker that crashed.
+	StartedAtMs int64 `json:"bornMs"`
+	// AgeMs is how long ago the crash was noticed.
+	AgeMs int64 `json:"ageMs"`
+}
+
+// CrashReport holds all crashes that an entry knows. Digest is equal on entries
+// that know the same crashes, and 0 if there are none.
+type CrashReport struct {
+	Crashes []Crash `json:"crashes"`
+	Digest  uint64  `json:"digest"`
+}
+
+// crashKey identifies a crash, however often and by whomever it is noticed.
+type crashKey struct {
+	task, worker string
+	startedAtMs  int64
+}
+
+func (k crashKey) hash() uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(k.task + " " + k.worker + " " + strconv.FormatInt(k.startedAtMs, 10)))
+	return h.Sum64()
+}
+
+// crashLog is a set of crashes. The zero value is empty.
+type crashLog struct {
+	noticedAt map[crashKey]time.Time
+	// perTask is the number of crashes of each task.
+	perTask map[string]int
+	digest  uint64
+}
+
+// add adds a crash and reports whether it was unknown and is recent enough.
+func (l *crashLog) add(now, noticedAt time.Time, k crashKey) bool {
+	if _, known := l.noticedAt[k]; known || now.Sub(noticedAt) >= crashRetention {
+		return false
+	}
+	if l.noticedAt == nil {
+		l.noticedAt, l.perTask = map[crashKey]time.Time{}, map[string]int{}
+	}
+	if len(l.noticedAt) >= maxCrashRecords {
+		l.remove(l.oldest())
+	}
+	l.noticedAt[k] = noticedAt
+	l.perTask[k.task]++
+	l.digest ^= k.hash()
+	return true
+}
+
+func (l *crashLog) remove(k crashKey) {
+	delete(l.noticedAt, k)
+	l.digest ^= k.hash()
+	if l.perTask[k.task]--; l.perTask[k.task] <= 0 {
+		delete(l.perTask, k.task)
+	}
+}
+
+func (l *crashLog) oldest() crashKey {
+	keys := slices.Collect(maps.Keys(l.noticedAt))
+	return slices.MinFunc(keys, func(a, b crashKey) int {
+		return cmp.Or(l.noticedAt[a].Compare(l.noticedAt[b]), compareCrashKeys(a, b))
+	})
+}
+
+// prune forgets old crashes and reports whether there were any.
+func (l *crashLog) prune(now time.Time) bool {
+	before := len(l.noticedAt)
+	for k, at := range l.noticedAt {
+		if now.Sub(at) >= crashRetention {
+			l.remove(k)
+		}
+	}
+	return len(l.noticedAt) < before
+}
+
+func (l *crashLog) report(now time.Time) CrashReport {
+	r := CrashReport{Digest: l.digest}
+	for _, k := range slices.SortedFunc(maps.Keys(l.noticedAt), compareCrashKeys) {
+		r.Crashes = append(r.Crashes, Crash{Task: k.task, Worker: k.worker, StartedAtMs: k.startedAtMs, AgeMs: now.Sub(l.noticedAt[k]).Milliseconds()})
+	}
+	return r
+}
+
+func compareCrashKeys(a, b crashKey) int {
+	return cmp.Or(cmp.Compare(a.task, b.task), cmp.Compare(a.worker, b.worker), cmp.Compare(a.startedAtMs, b.startedAtMs))
+}
+
+// Crashes returns the crashes that this entry knows.
+func (s *State) Crashes(now time.Time) CrashReport { return s.crashes.report(now) }
+
+// recordCrash records that a worker crashed under all runs that it may have had.
+// Workers that leave are expected to end. While the runs of a restarted worker are
+// unknown, those recorded are the ones of its previous incarnation.
+func (s *State) recordCrash(now time.Time, w *worker) {
+	if w.Draining || w.removed || w.runsUnknown {
+		return
+	}
+	var tasks []string
+	for _, r := range sortedRuns(w) {
+		if r.stopAttempts >= 0 && s.crashes.add(now, now, crashKey{r.key.Task, w.ID, w.StartedAtMs}) {
+			tasks = append(tasks, r.key.Task)
+		}
+	}
+	if len(tasks) == 0 {
+		return
+	}
+	s.emit(Count{"worker", "crashed"})
+	s.log("worker crashed with runs", map[string]any{"worker": w.ID, "tasks": summarize(tasks)})
+	s.emit(CrashesChanged{})
+}
+
+// handleCrashesReported adds the crashes that another entry knows.
+func (s *State) handleCrashesReported(now time.Time, crashes []Crash) {
+	added := false
+	for _, c := range crashes {
+		noticedAt := now.Add(-time.Duration(min(max(c.AgeMs, 0), crashRetention.Milliseconds())) * time.Millisecond)
+		added = s.crashes.add(now, noticedAt, crashKey{c.Task, c.Worker, c.StartedAtMs}) || added
+	}
+	if added {
+		s.emit(CrashesChanged{})
+	}
+}
+
+// crashedTooOften reports whether a task that has to be started has crashed
+// maxCrashes workers.
+func (s *State) crashedTooOften(j *job) bool {
+	if len(s.crashes.perTask) == 0 {
+		return false
+	}
+	for i := range j.tasks {
+		if j.isUnstarted(i) && s.crashes.perTask[j.taskName(i)] >= maxCrashes {
+			return true
+		}
+	}
+	return false
+}
--- a/entry/placer/message.go
+++ b/entry/placer/message.go
@@ -106,6 +106,9 @@
 	WrongWorker bool
 }
 
+// CrashesReported adds crashes that another entry knows.
+type CrashesReported struct{ Crashes []Crash }
+
 // Tick triggers the handling of timeouts and retries. ResponseTime is how long
 // workers currently take to respond, network and queues included.
 type Tick struct{ ResponseTime time.Duration }
@@ -113,17 +116,18 @@
 // ProcessResumed reports that the process was suspended for the given time.
 type ProcessResumed struct{ Gap time.Duration }
 
-func (WorkersListed) isMsg()  {}
-func (Claim) isMsg()          {}
-func (Release) isMsg()        {}
-func (Submit) isMsg()         {}
-func (Cancel) isMsg()         {}
-func (EntryLost) isMsg()      {}
-func (HoldResponse) isMsg()   {}
-func (StartResponse) isMsg()  {}
-func (StopResponse) isMsg()   {}
-func (Tick) isMsg()           {}
-func (ProcessResumed) isMsg() {}
+func (WorkersListed) isMsg()   {}
+func (Claim) isMsg()           {}
+func (Release) isMsg()         {}
+func (Submit) isMsg()          {}
+func (Cancel) isMsg()          {}
+func (EntryLost) isMsg()       {}
+func (HoldResponse) isMsg()    {}
+func (StartResponse) isMsg()   {}
+func (StopResponse) isMsg()    {}
+func (CrashesReported) isMsg() {}
+func (Tick) isMsg()            {}
+func (ProcessResumed) isMsg()  {}
 
 // Cmd is an effect requested by [State.Update].
 type Cmd interface{ isCmd() }
@@ -179,6 +183,9 @@
 // WorkerTakenOver reports that another owner has taken over a worker.
 type WorkerTakenOver struct{ Worker string }
 
+// CrashesChanged reports that [State.Crashes] has changed.
+type CrashesChanged struct{}
+
 // Count increments the counter for Reason in a group of metrics.
 type Count struct{ Group, Reason string }
 
@@ -193,6 +200,7 @@
 func (Stop) isCmd()            {}
 func (Answer) isCmd()          {}
 func (WorkerTakenOver) isCmd() {}
+func (CrashesChanged) isCmd()  {}
 func (Count) isCmd()           {}
 func (Log) isCmd()             {}
 
--- a/entry/placer/owner.go
+++ b/entry/placer/owner.go
@@ -180,7 +180,7 @@
 		s.log("worker answers again", map[string]any{"worker": w.ID, "unanswered": w.unansweredHolds})
 	}
 	w.lost = false
-	if msg.StartedAtMs > 0 && msg.StartedAtMs != w.StartedAtMs && s.handleWorkerRestart(w, msg.StartedAtMs) {
+	if msg.StartedAtMs > 0 && msg.StartedAtMs != w.StartedAtMs && s.handleWorkerRestart(now, w, msg.StartedAtMs) {
 		w.unansweredHolds, w.answeredAt, w.workerClockMs, w.clockReadAt = 0, now, msg.ClockMs, now
 		s.sendHold(now, w)
 		return
@@ -243,6 +243,9 @@
 		})
 		s.emit(Count{"worker", "silent"})
 	}
+	if w.lost && result == HoldRefused {
+		s.recordCrash(now, w)
+	}
 	if w.lost && (result == HoldRefused || now.Sub(w.answeredAt) >= giveUpAfter) {
 		s.failJobsOn(now, w, "the worker does not answer")
 	}
@@ -258,8 +261,11 @@
 // numbers the ends of its runs from the beginning. Known runs that belong to
 // the new incarnation appear in its list of runs; runs of the previous one are
 // gone. It reports whether the list has to be requested again.
-func (s *State) handleWorkerRestart(w *worker, startedAtMs int64) bool {
+func (s *State) handleWorkerRestart(now time.Time, w *worker, startedAtMs int64) bool {
 	known := w.StartedAtMs > 0
+	if known {
+		s.recordCrash(now, w)
+	}
 	w.StartedAtMs, w.lastEndIndex, w.health = startedAtMs, 0, health{}
 	w.unmatchedEnds = map[RunKey]runEnd{}
 	if !known {
@@ -304,7 +310,11 @@
 // recorded so that they can be stopped when the worker responds again.
 func (s *State) failJobsOn(now time.Time, w *worker, reason string) {
 	for _, r := range sortedRuns(w) {
-		if j := r.job; j != nil {
+		switch j := r.job; {
+		case j == nil:
+		case s.crashes.perTask[r.key.Task] >= maxCrashes:
+			s.finishJob(now, j, Result{Failed: true})
+		default:
 			s.failJob(now, j, messenger.TargetLost, reason)
 		}
 	}
--- a/entry/placer/runs.go
+++ b/entry/placer/runs.go
@@ -68,7 +68,7 @@
 		s.failJob(now, j, messenger.NeverRunnable, "a worker rejected the start request as malformed")
 		return
 	}
-	s.requeue(j)
+	s.requeue(now, j)
 }
 
 // reconcile updates the known runs of a worker from its lists.
@@ -213,7 +213,7 @@
 		s.emit(Count{"retry", string(kind)})
 		s.log("run ended early", map[string]any{"task": r.key.Task, "run": r.key.Number, "worker": w.ID, "how": string(kind), "ranMs": now.Sub(r.startedAt).Milliseconds()})
 	}
-	s.requeue(j)
+	s.requeue(now, j)
 }
 
 // stopRun stops a run whose result is no longer needed.
--- a/entry/placer/simulation_test.go
+++ b/entry/placer/simulation_test.go
@@ -20,6 +20,8 @@
 	// holdPollInterval is the interval at which a pending hold checks for run
 	// ends.
 	holdPollInterval = 4 * time.Millisecond
+	// crashDelay is the time from the start of a run to the crash that it causes.
+	crashDelay = 25 * time.Millisecond
 )
 
 // event is a scheduled action in the simulation.
@@ -84,6 +86,8 @@
 	answers     []placer.Result
 	answeredAt  time.Time
 	lastRunAt   time.Time
+	// crashing lists the tasks that crash the worker that runs them.
+	crashing map[string]bool
 }
 
 // simulation runs owners and workers in virtual time and checks what callers
@@ -109,9 +113,13 @@
 	// the answer "did not run" for a job that ran.
 	violations  []string
 	startedRuns int
+	// starts counts the runs of each task, and crashes those that crashed a worker.
+	starts, crashes map[string]int
 	// runNumbers holds the last run number sent for each task.
 	runNumbers map[string]int64
 	logLines   []string
+	// restartDelay is how long a worker that crashed is down.
+	restartDelay time.Duration
 }
 
 // newSimulation returns a simulation with the given numbers of workers and of
@@ -120,6 +128,7 @@
 	s := &simulation{
 		now: time.UnixMilli(1_700_000_000_000), random: rand.New(rand.NewSource(seed)),
 		jobs: map[string]*submittedJob{}, waiters: map[placer.Waiter]*submittedJob{}, runNumbers: map[string]int64{},
+		starts: map[string]int{}, crashes: map[string]int{},
 	}
 	for i := range machines {
 		cpu := int64(64000)
@@ -290,6 +299,10 @@
 	p := s.random.Float64()
 	f := s.faults
 	switch {
+	case m.refuses:
+		reply.Result = placer.StartNotSent
+		s.schedule(s.networkDelay(), func(time.Time) { s.deliver(o, reply) })
+		return
 	case m.unreachableFrom[o] || p < f.lostStarts:
 		s.schedule(requestTimeout, func(time.Time) { s.deliver(o, reply) })
 		return
@@ -328,6 +341,10 @@
 		return reason
 	}
 	s.startedRuns++
+	s.starts[cmd.Key.Task]++
+	if job.crashing[cmd.Key.Task] {
+		s.schedule(crashDelay, func(now time.Time) { s.crash(now, m, cmd.Key.Task) })
+	}
 	job.lastRunAt = now
 	for _, other := range s.machines {
 		for _, r := range other.Runs(now) {
@@ -344,6 +361,20 @@
 	return ""
 }
 
+// crash ends the worker's process, which is back after restartDelay.
+func (s *simulation) crash(now time.Time, m *machine, task string) {
+	if m.refuses {
+		return
+	}
+	s.crashes[task]++
+	m.refuses = true
+	m.Restart(now)
+	s.schedule(s.restartDelay, func(now time.Time) {
+		m.refuses = false
+		m.Restart(now)
+	})
+}
+
 func (s *simulation) handleStop(o *owner, cmd placer.Stop) {
 	m := s.machine(cmd.Worker)
 	if m.unreachableFrom[o] || s.random.Float64() < s.faults.lostStops {
--- a/entry/placer/state.go
+++ b/entry/placer/state.go
@@ -16,6 +16,7 @@
 	jobs          map[string]*job
 	waiting       []*job
 	runTimes      runTimeEstimator
+	crashes       crashLog
 
 	isOwner bool
 	// contested is set while another owner may exist. A later claim that is not
@@ -72,6 +73,8 @@
 		s.handleStopResponse(now, msg)
 	case ProcessResumed:
 		s.handleProcessResumed(msg)
+	case CrashesReported:
+		s.handleCrashesReported(now, msg.Crashes)
 	case Tick:
 		s.responseTime = msg.ResponseTime
 		s.handleTick(now)
@@ -201,6 +204,9 @@
 		s.tickWorker(now, w)
 	}
 	s.pruneWorkers()
+	if s.crashes.prune(now) {
+		s.emit(CrashesChanged{})
+	}
 	if s.isOwner {
 		s.sendDueHolds(now)
 	}
--- a/entry/placer/submit.go
+++ b/entry/placer/submit.go
@@ -28,6 +28,10 @@
 		s.resumeJob(now, j, msg.Placements)
 		return
 	}
+	if s.crashedTooOften(j) {
+		s.finishJob(now, j, Result{Failed: true})
+		return
+	}
 	if err := s.admissionError(now, j); err != nil {
 		s.finishJob(now, j, Result{Err: err})
 		return
@@ -68,7 +72,7 @@
 		}
 	}
 	if s.jobs[j.ID] == j {
-		s.requeue(j)
+		s.requeue(now, j)
 	}
 }
 
@@ -118,7 +122,7 @@
 	case t.awaitedRun.Number != 0:
 		t.awaitedRun = nil
 		s.emit(Count{"retry", "notListed"})
-		s.requeue(j)
+		s.requeue(now, j)
 	}
 }
 
@@ -260,8 +264,13 @@
 	})
 }
 
-// requeue returns a job with unstarted tasks to the queue.
-func (s *State) requeue(j *job) {
+// requeue returns a job with unstarted tasks to the queue, or gives it up if one of
+// them has crashed too many workers.
+func (s *State) requeue(now time.Time, j *job) {
+	if s.crashedTooOften(j) {
+		s.finishJob(now, j, Result{Failed: true})
+		return
+	}
 	for _, queued := range s.waiting {
 		if queued == j {
 			return
