relayer: entries tell each other which tasks crashed their workers

A new owner started a task again under which its predecessor had seen two workers crash: the record was in the memory of the owner that was lost.

Crashes only add up, so the order does not matter, and ages travel with them, so that they expire everywhere at the same time. An entry that starts, or that was cut off, learns them with its first heartbeats. What is not covered: a start of all entries at once forgets them.

--- a/entry/placer/crashes.go
+++ b/entry/placer/crashes.go
@@ -39,6 +39,16 @@
 	Digest  uint64  `json:"digest"`
 }
 
+// Aged returns the report as it is after d has passed.
+func (r CrashReport) Aged(d time.Duration) CrashReport {
+	aged := CrashReport{Digest: r.Digest, Crashes: make([]Crash, 0, len(r.Crashes))}
+	for _, c := range r.Crashes {
+		c.AgeMs += d.Milliseconds()
+		aged.Crashes = append(aged.Crashes, c)
+	}
+	return aged
+}
+
 // crashKey identifies a crash, however often and by whomever it is noticed.
 type crashKey struct {
 	task, worker string
--- a/entry/relayer/peer.go
+++ b/entry/relayer/peer.go
@@ -44,6 +44,8 @@
 	Layout grouper.Layout `json:"layout"`
 	// LeastCapacity is the smallest capacity of the entries known to the sender.
 	LeastCapacity int64 `json:"leastCapacity,omitempty"`
+	// CrashDigest identifies the set of crashes that the sender knows.
+	CrashDigest uint64 `json:"crashDigest,omitempty"`
 	// Fence is the highest fencing token seen by the sender.
 	Fence int64 `json:"fence"`
 	// FreeCPU is the unused CPU of an owner's workers, in thousandths of a core.
@@ -57,6 +59,7 @@
 	b := heartbeat{
 		View: *r.view.Load(), WorkersVersion: workers.Number, WorkersAuthor: workers.Author, WorkersDigest: workers.Digest,
 		Layout: r.groups.current().Layout, LeastCapacity: r.groups.leastCapacity.Load(), Fence: r.fence.Load(),
+		CrashDigest: r.crashes.Load().report.Digest,
 	}
 	// The age is read first: a newer configuration may be applied in between.
 	age, known := r.confirmations.Age(timeSinceBoot())
@@ -117,6 +120,7 @@
 // entry, the worker list from the owner only.
 func (r *Relayer) fetchNewer(address string, b heartbeat) {
 	r.catchUp(address, b.ConfigVersion)
+	r.fetchCrashes(time.Now(), address, b.CrashDigest)
 	have := r.workerList.Load()
 	if r.ownership.Load().address == address && r.Self.Address != address && b.WorkersVersion > 0 && !have.Version.SameWorkers(b.workersVersion()) {
 		group := r.groups.current()
@@ -160,6 +164,10 @@
 		messenger.WriteJSON(w, http.StatusOK, r.configuration.Load())
 	})
 	mux.HandleFunc("GET /peer/v1/workers", r.serveWorkers)
+	mux.HandleFunc("GET /peer/v1/crashes", func(w http.ResponseWriter, _ *http.Request) {
+		known := r.crashes.Load()
+		messenger.WriteJSON(w, http.StatusOK, known.report.Aged(time.Since(known.at)))
+	})
 	return mux
 }
 
--- a/entry/relayer/relayer.go
+++ b/entry/relayer/relayer.go
@@ -114,7 +114,10 @@
 	view       atomic.Pointer[elector.View]
 	members    atomic.Pointer[[]elector.Member]
 	neighbours spiller.State
-	freeCPU    atomic.Int64
+	// crashes holds the crashes known to the placer, for other entries.
+	crashes          atomic.Pointer[knownCrashes]
+	crashesFetchedAt atomic.Int64
+	freeCPU          atomic.Int64
 	// fence is the highest fencing token seen by this entry.
 	fence             atomic.Int64
 	ownership         atomic.Pointer[ownership]
@@ -152,6 +155,7 @@
 	r.ownership.Store(&ownership{changed: make(chan struct{})})
 	r.workerList.Store(&lister.List{})
 	r.storeDown = map[string]bool{}
+	r.crashes.Store(&knownCrashes{})
 	v := r.elector.View()
 	r.view.Store(&v)
 	r.lastSuspendedTime = suspendedTime()
@@ -334,6 +338,8 @@
 		}
 	case placer.WorkerTakenOver:
 		r.handle(now, elector.WorkerTakenOver{})
+	case placer.CrashesChanged:
+		r.crashes.Store(&knownCrashes{r.placer.Crashes(now), now})
 	case placer.Count:
 		r.Metrics.Count(cmd.Group, cmd.Reason)
 	case placer.Log:
--- a/standin/fleet/listener/fleet.go
+++ b/standin/fleet/listener/fleet.go
@@ -25,6 +25,8 @@
 	WorkMs int64 `json:"workMs"`
 	Fails  bool  `json:"fails,omitempty"`
 	Hangs  bool  `json:"hangs,omitempty"`
+	// Crashes makes the task restart its worker after WorkMs.
+	Crashes bool `json:"crashes,omitempty"`
 }
 
 // Faults sets the faults of start requests. Each start has at most one fault.
@@ -214,7 +216,7 @@
 	before := len(w.Runs(now))
 	key := executor.Key{Task: req.Task, Number: req.RunID}
 	reason = w.Start(now, key, executor.Task{
-		CPU: work.CPU, Duration: time.Duration(work.WorkMs) * time.Millisecond, Fails: work.Fails, Hangs: work.Hangs,
+		CPU: work.CPU, Duration: time.Duration(work.WorkMs) * time.Millisecond, Fails: work.Fails, Hangs: work.Hangs || work.Crashes,
 	}, req.UntilMs, req.FencingToken)
 	if reason == "" && len(w.Runs(now)) > before {
 		f.started++
@@ -224,6 +226,9 @@
 		}
 		f.startsByJob[strings.SplitN(req.Task, ".", 2)[0]]++
 		f.checkSingleRun(now, w, key)
+		if work.Crashes {
+			time.AfterFunc(time.Duration(work.WorkMs)*time.Millisecond, w.Restart)
+		}
 	}
 	return reason, w.ClockMs(now)
 }
