placer: a planned handover keeps the attempts of each task

A job that moved to the next owner had all its attempts again: placements held the last run of each task, not how many had failed or made no progress. With three owners one after another a task ran more often than MaxAttempts.

Placements now carry both counts. TestAttemptsSurviveMove failed before: 5 runs were started, want 3, for a task that fails and one that hangs. What an owner that is lost counted is still unknown to the next one.

--- a/entry/placer/message.go
+++ b/entry/placer/message.go
@@ -246,18 +246,25 @@
 	Worker string `json:"worker"`
 	Number int64  `json:"number"`
 	Done   bool   `json:"done,omitempty"`
+	// Failures and HungRuns count the runs that failed or made no progress.
+	Failures int `json:"failures,omitempty"`
+	HungRuns int `json:"hungRuns,omitempty"`
 }
 
 // UnknownPlacements returns the placements of a job of n tasks whose owner was
-// lost. Tasks that are done in known stay done.
+// lost. What is known about done tasks and earlier attempts stays.
 func UnknownPlacements(n int, known []Placement) []Placement {
 	list := make([]Placement, n)
 	for i := range list {
 		list[i].Task = i
 	}
 	for _, p := range known {
-		if p.Done && p.Task >= 0 && p.Task < n {
+		switch {
+		case p.Task < 0 || p.Task >= n:
+		case p.Done:
 			list[p.Task] = p
+		default:
+			list[p.Task].Failures, list[p.Task].HungRuns = p.Failures, p.HungRuns
 		}
 	}
 	return list
--- a/entry/placer/submit.go
+++ b/entry/placer/submit.go
@@ -49,6 +49,7 @@
 		}
 		t := &j.tasks[p.Task]
 		t.workerID, t.lastRunNumber = p.Worker, p.Number
+		t.failures, t.hungRuns = max(p.Failures, 0), max(p.HungRuns, 0)
 		if p.Done && !t.done {
 			t.done = true
 			j.remainingTasks--
--- a/entry/placer/takeover_test.go
+++ b/entry/placer/takeover_test.go
@@ -149,3 +149,36 @@
 		t.Errorf("%d runs were started for 3 tasks", s.startedRuns)
 	}
 }
+
+// TestAttemptsSurviveMove guards against more than MaxAttempts runs of a task
+// because a planned handover forgets those that failed before it.
+func TestAttemptsSurviveMove(t *testing.T) {
+	for _, task := range []executor.Task{
+		{CPU: 27000, Duration: 200 * time.Millisecond, Fails: true},
+		{CPU: 27000, Duration: 200 * time.Millisecond, Hangs: true},
+	} {
+		s := newSimulation(1, 4, 4)
+		s.deliver(s.owners[0], placer.Claim{WallMs: s.now.UnixMilli()})
+		s.run(100 * time.Millisecond)
+		job := newJob("j0000", 1, 27000, 200)
+		job.MaxAttempts, job.RemainingMs = 3, 60_000
+		j := s.submit(s.owners[0], job, task)
+		for i, next := range s.owners[1:] {
+			before := s.startedRuns
+			for end := s.now.Add(5 * time.Second); s.startedRuns == before && s.now.Before(end); {
+				s.run(10 * time.Millisecond)
+			}
+			if n := len(j.answers); n > 0 && !j.answers[n-1].Moved {
+				break
+			}
+			s.deliver(s.owners[i], placer.Release{Moved: true})
+			s.deliver(next, placer.Claim{WallMs: s.now.UnixMilli(), HighestKnownFence: s.owners[i].state.Fence()})
+			s.submit(next, job, task, j.answers[len(j.answers)-1].Placements...)
+		}
+		s.run(30 * time.Second)
+		if n := s.startedRuns; n != job.MaxAttempts {
+			t.Errorf("task %+v: %d runs were started, want %d", task, n, job.MaxAttempts)
+		}
+		s.checkNoViolations(t)
+	}
+}
