placer: start nothing beside runs of unknown size where workers accept every start

A new owner learns what runs on a worker from its list, which has no sizes, and counted these runs as nothing until their jobs were submitted again or they had been stopped, up to 0.6 s later and more. On workers that do not check their capacity, its starts exceeded it.

Where workers check, nothing changes: a start too many is refused there.

TestCapacityShrinks passes before and after: a capacity that shrinks under its runs was handled.

--- a/entry/placer/job.go
+++ b/entry/placer/job.go
@@ -32,6 +32,8 @@
 	Service       string    `json:"service"`
 	Tasks         int       `json:"tasks"`
 	Resources     Resources `json:"room"`
+	// GuardedCapacity is set if the workers refuse starts that exceed their capacity.
+	GuardedCapacity bool `json:"guardedCapacity,omitempty"`
 	// EstimateMs is the caller's estimate of a task's run time.
 	EstimateMs int64 `json:"estimateMs,omitempty"`
 	// Label is a label the worker must have, or empty for any worker.
--- a/entry/placer/place.go
+++ b/entry/placer/place.go
@@ -112,6 +112,9 @@
 
 // startableTasks returns how many tasks of j may start on w now.
 func (w *worker) startableTasks(now time.Time, j *job) int {
+	if w.unsizedRuns > 0 && !j.GuardedCapacity {
+		return 0
+	}
 	n := fittingTasks(w.freeResources(), j)
 	if limit := w.health.maxRuns(now); limit >= 0 {
 		n = min(n, limit-len(w.runs))
--- a/entry/placer/run.go
+++ b/entry/placer/run.go
@@ -36,6 +36,9 @@
 	resources       Resources
 	expectedRunTime time.Duration
 	startedAt       time.Time
+	// unsized is set while the resources of the run are unknown, because it was
+	// found on the worker and has not been matched with a job.
+	unsized bool
 	// adopted is set if the run started under a previous owner, so that its run
 	// time is unknown.
 	adopted         bool
--- a/entry/placer/runs.go
+++ b/entry/placer/runs.go
@@ -163,7 +163,7 @@
 func (s *State) observeRun(now time.Time, w *worker, row RunningRun) {
 	r := w.runs[row.Key]
 	if r == nil {
-		r = &run{key: row.Key, state: running, startedAt: now, progressAt: now, progressPercent: row.Percent}
+		r = &run{key: row.Key, state: running, unsized: true, startedAt: now, progressAt: now, progressPercent: row.Percent}
 		w.addRun(r)
 		return
 	}
--- a/entry/placer/submit.go
+++ b/entry/placer/submit.go
@@ -130,6 +130,10 @@
 // adoptRun assigns an unmatched run to task i of j.
 func (s *State) adoptRun(w *worker, r *run, j *job, i int) {
 	w.usedResources = w.usedResources.Sub(r.resources).Add(j.Resources)
+	if r.unsized {
+		r.unsized = false
+		w.unsizedRuns--
+	}
 	r.job, r.taskIndex, r.resources, r.expectedRunTime, r.adopted = j, i, j.Resources, s.runTimes.expectedRunTime(j), true
 	t := &j.tasks[i]
 	t.run, t.workerID, t.lastRunNumber = r, w.ID, max(t.lastRunNumber, r.key.Number)
--- a/entry/placer/worker.go
+++ b/entry/placer/worker.go
@@ -68,7 +68,9 @@
 	removed       bool
 	fence         int64
 	usedResources Resources
-	runs          map[RunKey]*run
+	// unsizedRuns is the number of runs that usedResources lacks.
+	unsizedRuns int
+	runs        map[RunKey]*run
 	// unmatchedEnds holds the ends of runs that this owner has no record of. No
 	// job has been matched with them yet.
 	unmatchedEnds map[RunKey]runEnd
@@ -145,7 +147,7 @@
 // or it has not responded for lateStartPeriod.
 func (w *worker) resetRuns() {
 	w.runs, w.unmatchedEnds, w.usedResources = map[RunKey]*run{}, map[RunKey]runEnd{}, Resources{}
-	w.lastEndIndex, w.runsUnknown = 0, false
+	w.unsizedRuns, w.lastEndIndex, w.runsUnknown = 0, 0, false
 }
 
 func (w *worker) removeRun(r *run) {
@@ -153,6 +155,9 @@
 		return
 	}
 	delete(w.runs, r.key)
+	if r.unsized {
+		w.unsizedRuns--
+	}
 	w.usedResources = w.usedResources.Sub(r.resources)
 }
 
@@ -161,5 +166,8 @@
 		w.removeRun(old)
 	}
 	w.runs[r.key] = r
+	if r.unsized {
+		w.unsizedRuns++
+	}
 	w.usedResources = w.usedResources.Add(r.resources)
 }
--- a/entry/router/router.go
+++ b/entry/router/router.go
@@ -26,6 +26,9 @@
 	// times the run time of its longest task, plus TargetLatencyMs.
 	Stretch         float64 `json:"stretch"`
 	TargetLatencyMs int64   `json:"targetLatencyMs"`
+	// GuardedCapacity is set if the workers of the service refuse starts that
+	// exceed their capacity.
+	GuardedCapacity bool `json:"guardedCapacity,omitempty"`
 	// TimeoutMs is the maximum duration of a request.
 	TimeoutMs int64 `json:"timeoutMs"`
 }
