relayer: an owner that the store rejects reads the list of workers through another entry

While the store rejected the requests of the owner and served the others, the owner went on with the list of workers that it had: it started tasks on workers that had begun to drain, and would not have seen a capacity that shrank.

The owner now asks another entry, which reads the store for it, and keeps to that one while it succeeds.

--- a/entry/relayer/follow.go
+++ b/entry/relayer/follow.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/http"
 	"time"
 
+	"github.com/godwitrelay/godwitrelay/core/messenger"
 	"github.com/godwitrelay/godwitrelay/entry/elector"
 	"github.com/godwitrelay/godwitrelay/entry/grouper"
 	"github.com/godwitrelay/godwitrelay/entry/placer"
@@ -154,13 +157,53 @@
 		// The layout of the groups depends on the members.
 		r.readMembers(ctx)
 	}
-	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	timeout := storeTimeout
+	if r.storeProxy != "" {
+		// The list also comes from another entry, which must not wait long for the
+		// store to answer this one.
+		timeout = firstReadTimeout
+	}
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	list, err := r.Store.Workers(call)
 	r.recordStoreStatus("workers", err)
-	if err == nil {
-		r.updateWorkers(list)
+	switch {
+	case err == nil:
+		r.storeProxy = ""
+	case r.IsOwner():
+		list = r.readWorkersThroughProxy()
+	}
+	r.updateWorkers(list)
+}
+
+// readWorkersThroughProxy has another entry read the list of workers, since the
+// store may reject this one only. It keeps to one entry while that succeeds.
+func (r *Relayer) readWorkersThroughProxy() []placer.Worker {
+	if members := r.members.Load(); r.storeProxy == "" && members != nil && len(*members) > 0 {
+		r.storeProxy = (*members)[rand.IntN(len(*members))].Address
+	}
+	if r.storeProxy == r.Self.Address {
+		r.storeProxy = ""
+	}
+	var list []placer.Worker
+	if r.storeProxy == "" || !r.fetch(r.storeProxy, "/peer/v1/stored/workers", &list) {
+		r.storeProxy = ""
+		return nil
+	}
+	return list
+}
+
+// serveStoredWorkers replies with the list of all workers as read from the store.
+func (r *Relayer) serveStoredWorkers(w http.ResponseWriter, req *http.Request) {
+	ctx, cancel := context.WithTimeout(req.Context(), peerTimeout)
+	defer cancel()
+	list, err := r.Store.Workers(ctx)
+	if err != nil {
+		refusal := messenger.NewError(messenger.NotReady, err.Error())
+		messenger.WriteJSON(w, refusal.Status(), refusal)
+		return
 	}
+	messenger.WriteJSON(w, http.StatusOK, list)
 }
 
 // updateWorkers handles the list of all workers, as read from the store.
--- a/entry/relayer/peer.go
+++ b/entry/relayer/peer.go
@@ -164,6 +164,7 @@
 		messenger.WriteJSON(w, http.StatusOK, r.configuration.Load())
 	})
 	mux.HandleFunc("GET /peer/v1/workers", r.serveWorkers)
+	mux.HandleFunc("GET /peer/v1/stored/workers", r.serveStoredWorkers)
 	mux.HandleFunc("GET /peer/v1/crashes", func(w http.ResponseWriter, _ *http.Request) {
 		known := r.crashes.Load()
 		messenger.WriteJSON(w, http.StatusOK, known.report.Aged(time.Since(known.at)))
--- a/entry/relayer/relayer.go
+++ b/entry/relayer/relayer.go
@@ -105,6 +105,9 @@
 	// address of another entry, or "" for the store.
 	confirmations      confirmer.State
 	configurationReads singleflight.Group
+	// storeProxy is the entry that reads the list of workers for this owner while the
+	// store rejects its requests, or empty. Only the polling of the list uses it.
+	storeProxy string
 	// workerList is the list of the workers of this entry's group.
 	workerList atomic.Pointer[lister.List]
 	groups     groupTracker
