placer: entries agree on a bounded set of crashes, which expires everywhere

Two faults found by reading. With more crashes than are remembered, entries that learned of them in different orders kept different ones, and each fetched the others' again and again: up to 2,048 records each 0.4 s for every follower of an owner. And the oldest record was searched among all for each new one.

The 512 crashes with the lowest hashes are kept, for one minute, and fetched at most once a second.

--- a/entry/placer/crashes.go
+++ b/entry/placer/crashes.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"cmp"
 	"hash/fnv"
 	"maps"
 	"slices"
@@ -15,10 +14,11 @@
 	maxCrashes = 2
 	// crashRetention is how long a crash is remembered. Callers submit a job again
 	// within seconds.
-	crashRetention = 2 * time.Minute
-	// maxCrashRecords limits the number of crashes that are remembered. The oldest
-	// are forgotten first.
-	maxCrashRecords = 2048
+	crashRetention = time.Minute
+	// maxCrashRecords limits the number of crashes that are remembered, which all
+	// entries of a group fetch. Those with the lowest hashes are kept, so that
+	// entries agree on them in whatever order they learn of crashes.
+	maxCrashRecords = 512
 )
 
 // Crash says that a task was running on a worker when that crashed. Entries
@@ -63,65 +63,69 @@
 
 // crashLog is a set of crashes. The zero value is empty.
 type crashLog struct {
-	noticedAt map[crashKey]time.Time
+	records map[uint64]crashRecord
 	// perTask is the number of crashes of each task.
 	perTask map[string]int
 	digest  uint64
+	// highest is the highest hash of a record, if there are maxCrashRecords.
+	highest uint64
+}
+
+type crashRecord struct {
+	crashKey
+	noticedAt time.Time
 }
 
 // add adds a crash and reports whether it was unknown and is recent enough.
 func (l *crashLog) add(now, noticedAt time.Time, k crashKey) bool {
-	if _, known := l.noticedAt[k]; known || now.Sub(noticedAt) >= crashRetention {
+	h := k.hash()
+	if _, known := l.records[h]; known || now.Sub(noticedAt) >= crashRetention {
 		return false
 	}
-	if l.noticedAt == nil {
-		l.noticedAt, l.perTask = map[crashKey]time.Time{}, map[string]int{}
+	if full := len(l.records) >= maxCrashRecords; full && h > l.highest {
+		return false
+	} else if full {
+		l.remove(l.highest)
 	}
-	if len(l.noticedAt) >= maxCrashRecords {
-		l.remove(l.oldest())
+	if l.records == nil {
+		l.records, l.perTask = map[uint64]crashRecord{}, map[string]int{}
 	}
-	l.noticedAt[k] = noticedAt
+	l.records[h] = crashRecord{k, noticedAt}
 	l.perTask[k.task]++
-	l.digest ^= k.hash()
+	l.digest ^= h
+	if len(l.records) >= maxCrashRecords {
+		l.highest = slices.Max(slices.Collect(maps.Keys(l.records)))
+	}
 	return true
 }
 
-func (l *crashLog) remove(k crashKey) {
-	delete(l.noticedAt, k)
-	l.digest ^= k.hash()
-	if l.perTask[k.task]--; l.perTask[k.task] <= 0 {
-		delete(l.perTask, k.task)
+func (l *crashLog) remove(h uint64) {
+	task := l.records[h].task
+	delete(l.records, h)
+	l.digest ^= h
+	if l.perTask[task]--; l.perTask[task] <= 0 {
+		delete(l.perTask, task)
 	}
 }
 
-func (l *crashLog) oldest() crashKey {
-	keys := slices.Collect(maps.Keys(l.noticedAt))
-	return slices.MinFunc(keys, func(a, b crashKey) int {
-		return cmp.Or(l.noticedAt[a].Compare(l.noticedAt[b]), compareCrashKeys(a, b))
-	})
-}
-
 // prune forgets old crashes and reports whether there were any.
 func (l *crashLog) prune(now time.Time) bool {
-	before := len(l.noticedAt)
-	for k, at := range l.noticedAt {
-		if now.Sub(at) >= crashRetention {
-			l.remove(k)
+	before := len(l.records)
+	for h, r := range l.records {
+		if now.Sub(r.noticedAt) >= crashRetention {
+			l.remove(h)
 		}
 	}
-	return len(l.noticedAt) < before
+	return len(l.records) < before
 }
 
 func (l *crashLog) report(now time.Time) CrashReport {
-	r := CrashReport{Digest: l.digest}
-	for _, k := range slices.SortedFunc(maps.Keys(l.noticedAt), compareCrashKeys) {
-		r.Crashes = append(r.Crashes, Crash{Task: k.task, Worker: k.worker, StartedAtMs: k.startedAtMs, AgeMs: now.Sub(l.noticedAt[k]).Milliseconds()})
+	report := CrashReport{Digest: l.digest}
+	for _, h := range slices.Sorted(maps.Keys(l.records)) {
+		r := l.records[h]
+		report.Crashes = append(report.Crashes, Crash{Task: r.task, Worker: r.worker, StartedAtMs: r.startedAtMs, AgeMs: now.Sub(r.noticedAt).Milliseconds()})
 	}
-	return r
-}
-
-func compareCrashKeys(a, b crashKey) int {
-	return cmp.Or(cmp.Compare(a.task, b.task), cmp.Compare(a.worker, b.worker), cmp.Compare(a.startedAtMs, b.startedAtMs))
+	return report
 }
 
 // Crashes returns the crashes that this entry knows.
@@ -151,7 +155,7 @@
 // handleCrashesReported adds the crashes that another entry knows.
 func (s *State) handleCrashesReported(now time.Time, crashes []Crash) {
 	added := false
-	for _, c := range crashes {
+	for _, c := range crashes[:min(len(crashes), maxCrashRecords)] {
 		noticedAt := now.Add(-time.Duration(min(max(c.AgeMs, 0), crashRetention.Milliseconds())) * time.Millisecond)
 		added = s.crashes.add(now, noticedAt, crashKey{c.Task, c.Worker, c.StartedAtMs}) || added
 	}
--- a/entry/relayer/crashes.go
+++ b/entry/relayer/crashes.go
@@ -7,8 +7,8 @@
 )
 
 // crashFetchInterval is the minimum interval between two fetches of crashes. It is
-// below the time after which callers submit a job again.
-const crashFetchInterval = 400 * time.Millisecond
+// below the 1.3 s after which callers submit a job again.
+const crashFetchInterval = time.Second
 
 // knownCrashes holds the crashes that the placer knew at a time.
 type knownCrashes struct {
