elector: two owners that know only a follower learn of each other

Two entries that started within milliseconds, and each knew only a third one, both claimed the workers and took them from each other every 0.12 s, 253 times in 5 s, until the next reading of the members 10 s later. Jobs whose worker restarted meanwhile got 502. The third entry followed one of them, and both asked it, but a follower names no members, and the owner that it names was not taken as one.

An owner named by an entry of the same group is a member now, and is asked like any other; the one with the later claim yields.

TestOwnersMeetThroughFollower fails without the change: one entry follows 10.0.0.02, another one 10.0.0.00. Probably the same is behind the failures of TestOwnerKilled that were left open before; that was not shown.

--- a/entry/elector/elector_test.go
+++ b/entry/elector/elector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"testing"
 	"time"
 
@@ -148,6 +149,36 @@
 	}
 }
 
+// TestOwnersMeetThroughFollower guards against two owners that take workers in turns
+// because they do not know each other: the only entry that both know follows one of
+// them.
+func TestOwnersMeetThroughFollower(t *testing.T) {
+	for seed := range int64(200) {
+		net := &network{now: time.UnixMilli(1_700_000_000_000), random: rand.New(rand.NewSource(seed)), cut: map[[2]int]bool{}, index: map[string]int{}}
+		for i := range 3 {
+			net.add(&entry{group: "all", member: elector.Member{Name: fmt.Sprint(i), Address: address(i)}})
+		}
+		net.entries[0].unknown, net.entries[1].unknown, net.entries[2].unknown = []int{2}, []int{0, 2}, []int{0}
+		// The entry between the two has the lowest rank, so that both claim.
+		net.entries[0].member.CPU, net.entries[2].member.CPU = 400, 400
+		net.entries[0].member.LinkKbps, net.entries[2].member.LinkKbps = 200_000, 200_000
+		net.entries[1].member.CPU, net.entries[1].member.LinkKbps = 200, 25_000
+		for _, i := range []int{1, 0, 2} {
+			net.start(i)
+			net.run(time.Duration(net.random.Intn(100)) * time.Millisecond)
+		}
+		for range 20 {
+			net.run(100 * time.Millisecond)
+			if owners := net.owners(); len(owners) > 1 {
+				for _, i := range owners {
+					net.deliver(i, elector.WorkerTakenOver{})
+				}
+			}
+		}
+		net.checkOneOwner(t, 0, 1, 2)
+	}
+}
+
 // TestPartition guards against a side of a partition that has no owner, and
 // against two owners after the partition heals.
 func TestPartition(t *testing.T) {
--- a/entry/elector/member.go
+++ b/entry/elector/member.go
@@ -149,6 +149,11 @@
 func (s *State) recordView(now time.Time, v View) *member {
 	s.addMembers(now, []string{v.From.Address})
 	s.addMembers(now, v.Members)
+	if v.Group == s.group {
+		// A follower names no other members. Two owners that know only it learn of
+		// each other here.
+		s.addMembers(now, []string{v.Owner})
+	}
 	if v.ClaimedAtMs != 0 {
 		// The sender is an owner.
 		for _, a := range v.Members {
--- a/entry/elector/network_test.go
+++ b/entry/elector/network_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,6 +37,8 @@
 	messageTime time.Duration
 	busyUntil   time.Time
 	pingsSent   int
+	// unknown lists the entries that this one does not know when it starts.
+	unknown []int
 }
 
 // scheduled is an action to run at a given time. Actions for the same time run in
@@ -99,8 +102,10 @@
 	e.member.Incarnation = n.random.Uint64()
 	e.state, e.down, e.frozen, e.owning, e.busyUntil = elector.New(n.now, e.member), false, false, false, n.now
 	var all []elector.Member
-	for _, other := range n.entries {
-		all = append(all, other.member)
+	for j, other := range n.entries {
+		if !slices.Contains(e.unknown, j) {
+			all = append(all, other.member)
+		}
 	}
 	n.deliver(i, elector.MembersFound{Members: all})
 	// Entries learn their group from the worker list, after different delays.
