confirmer: a read during which the process was paused does not count as failed

A process that was paused while a read of the configuration was in progress woke up with a read that had timed out. That counted as a store that does not answer, so that the next requests were handled with the old configuration instead of waiting for a read. Found by reading.

A failed read counts only if it took no longer than its timeout and 0.5 s, on the clock that counts pauses.

--- a/entry/confirmer/confirmer.go
+++ b/entry/confirmer/confirmer.go
@@ -11,6 +11,10 @@
 // DefaultMaxAge is the maximum age of a confirmation if none is set.
 const DefaultMaxAge = 2 * time.Second
 
+// pauseThreshold is how much longer than its timeout a read may take before the
+// process counts as paused.
+const pauseThreshold = 500 * time.Millisecond
+
 // Decision says how to handle a request.
 type Decision int
 
@@ -52,11 +56,15 @@
 	}
 }
 
-// Fail records that a read ended without an answer.
-func (s *State) Fail(now time.Duration) {
+// Fail records that a read with the given timeout ended without an answer. If it
+// took far longer than its timeout, the process was paused during the read, which
+// then says nothing about the store.
+func (s *State) Fail(sentAt, now, timeout time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failed, s.failedAt = true, now
+	if now-sentAt <= timeout+pauseThreshold {
+		s.failed, s.failedAt = true, now
+	}
 }
 
 // Decide returns how to handle a request that arrived at the given time.
--- a/entry/relayer/follow.go
+++ b/entry/relayer/follow.go
@@ -123,7 +123,7 @@
 	cfg, err := r.Store.Configuration(call)
 	r.recordStoreStatus("configuration", err)
 	if err != nil {
-		r.confirmations.Fail(timeSinceBoot())
+		r.confirmations.Fail(sentAt, timeSinceBoot(), timeout)
 		return false
 	}
 	r.applyConfiguration(cfg, "store")
