relayer: an owner that the store rejects never asks itself for the list of workers

The entry that reads the list for the owner was drawn from all members, itself included. Of two entries it drew itself half of the time, and waited 0.6 s for the next reading.

--- a/entry/relayer/follow.go
+++ b/entry/relayer/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
@@ -179,18 +180,33 @@
 // readWorkersThroughProxy has another entry read the list of workers, since the
 // store may reject this one only. It keeps to one entry while that succeeds.
 func (r *Relayer) readWorkersThroughProxy() []placer.Worker {
-	if members := r.members.Load(); r.storeProxy == "" && members != nil && len(*members) > 0 {
-		r.storeProxy = (*members)[rand.IntN(len(*members))].Address
-	}
-	if r.storeProxy == r.Self.Address {
+	others := r.otherEntries()
+	for range maxProxyAttempts {
+		if r.storeProxy == "" && len(others) > 0 {
+			r.storeProxy = others[rand.IntN(len(others))]
+		}
+		var list []placer.Worker
+		if r.storeProxy != "" && r.fetch(r.storeProxy, "/peer/v1/stored/workers", &list) {
+			return list
+		}
 		r.storeProxy = ""
 	}
-	var list []placer.Worker
-	if r.storeProxy == "" || !r.fetch(r.storeProxy, "/peer/v1/stored/workers", &list) {
-		r.storeProxy = ""
-		return nil
+	return nil
+}
+
+// maxProxyAttempts limits the entries that are asked in one reading of the list.
+const maxProxyAttempts = 3
+
+// otherEntries returns the addresses of the other entries that this one knows: those
+// in the store when it was last read, and those that it lists as an owner.
+func (r *Relayer) otherEntries() []string {
+	list := slices.Clone(r.view.Load().Members)
+	if members := r.members.Load(); members != nil {
+		for _, m := range *members {
+			list = append(list, m.Address)
+		}
 	}
-	return list
+	return slices.DeleteFunc(list, func(address string) bool { return address == r.Self.Address })
 }
 
 // serveStoredWorkers replies with the list of all workers as read from the store.
