--- a/entry/relayer/configuration_test.go
+++ b/entry/relayer/configuration_test.go
@@ -32,7 +32,7 @@
 				messenger.WriteJSON(w, http.StatusOK, router.Configuration{Version: 2})
 			}))
 			t.Cleanup(entry.Close)
-			r := startReadyEntry(t, nil)
+			r := startEntry(t, 0)
 			job := placer.Job{ID: "00000000000000aa", Queue: "q", Service: "router", Tasks: 1, RemainingMs: 400, ConfigVersion: 2}
 			body, err := json.Marshal(map[string]any{"entry": entry.Listener.Addr().String(), "job": job})
 			if err != nil {
--- a/entry/relayer/fuzz_test.go
+++ b/entry/relayer/fuzz_test.go
@@ -17,13 +17,14 @@
 	"github.com/godwitrelay/godwitrelay/entry/relayer"
 )
 
-// startEntry starts an entry that knows no other ones.
-func startEntry(t testing.TB) *relayer.Relayer {
+// startEntry starts an entry with the given CPU and waits until it is ready. Without
+// seeds it knows no other entries and becomes the owner.
+func startEntry(t testing.TB, cpu int64, seeds ...string) *relayer.Relayer {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	r := &relayer.Relayer{
-		Self:    elector.Member{Address: "127.0.0.1:1", FailureDomain: "patan", Incarnation: 1, CPU: 400},
+		Self: elector.Member{Address: "127.0.0.1:1", FailureDomain: "patan", Incarnation: 1, CPU: cpu}, Seeds: seeds,
 		Workers: silentWorkers{}, Store: fixedStore{}, Peers: messenger.Client{Transport: relayer.NewTransport(4, time.Second)},
 		Metrics: exporter.New(), Log: log,
 	}
@@ -33,7 +34,7 @@
 	go r.Run(ctx)
 	for end := time.Now().Add(5 * time.Second); !r.Ready(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatal("the entry is not ready")
+			t.Fatal("the entry found no owner")
 		}
 	}
 	return r
@@ -77,7 +78,7 @@
 		f.Add("/peer/v1/beat", body)
 	}
 	f.Add("/peer/v1/workers?author=-1&version=x", "")
-	r := startEntry(f)
+	r := startEntry(f, 400)
 	f.Fuzz(func(t *testing.T, path, body string) {
 		method := http.MethodPost
 		if body == "" {
--- a/entry/relayer/submit_test.go
+++ b/entry/relayer/submit_test.go
@@ -3,21 +3,15 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
-	"time"
-
-	"github.com/sirupsen/logrus"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
 	"github.com/godwitrelay/godwitrelay/entry/elector"
-	"github.com/godwitrelay/godwitrelay/entry/exporter"
 	"github.com/godwitrelay/godwitrelay/entry/placer"
-	"github.com/godwitrelay/godwitrelay/entry/relayer"
 	"github.com/godwitrelay/godwitrelay/entry/router"
 )
 
@@ -87,29 +81,6 @@
 	messenger.WriteJSON(w, http.StatusOK, answer)
 }
 
-// startReadyEntry starts an entry and waits until it is ready. Without seeds it becomes
-// the owner.
-func startReadyEntry(t *testing.T, seeds []string) *relayer.Relayer {
-	t.Helper()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	r := &relayer.Relayer{
-		Self: elector.Member{Address: "127.0.0.1:1", FailureDomain: "patan", Incarnation: 1}, Seeds: seeds,
-		Workers: silentWorkers{}, Store: fixedStore{}, Peers: messenger.Client{Transport: relayer.NewTransport(4, time.Second)},
-		Metrics: exporter.New(), Log: log,
-	}
-	r.Init(time.Now())
-	ctx, cancel := context.WithCancel(t.Context())
-	t.Cleanup(cancel)
-	go r.Run(ctx)
-	for end := time.Now().Add(5 * time.Second); !r.Ready(); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("the entry found no owner")
-		}
-	}
-	return r
-}
-
 // submitTo starts an entry that follows the owner and submits a job of two
 // tasks to it.
 func submitTo(t *testing.T, o *scriptedOwner) placer.Result {
@@ -119,7 +90,7 @@
 	server.Start()
 	t.Cleanup(server.Close)
 	o.address = server.Listener.Addr().String()
-	r := startReadyEntry(t, []string{o.address})
+	r := startEntry(t, 0, o.address)
 	return r.Submit(t.Context(), placer.Job{ID: "00000000000000aa", Queue: "q", Service: "router", Tasks: 2, RemainingMs: 3000})
 }
 
