--- /dev/null
+++ b/review/stand/fleet.go
@@ -0,0 +1,466 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Bounds of the small deployments (himal-relay and namta-trials in SYSTEM.md).
+const (
+	holdMaxMs     = 1000
+	stopTimeoutMs = 50
+	cancelMs      = 3000
+	retransmitMs  = 1300
+	contactMs     = 3000
+	maxWaitMs     = 2000
+)
+
+// recorder writes what was sent, answered and run, with milliseconds since the
+// start of the script.
+type recorder struct {
+	mu    sync.Mutex
+	out   *os.File
+	began time.Time
+}
+
+func newRecorder(path string) (*recorder, error) {
+	out, err := os.Create(path)
+	return &recorder{out: out, began: time.Now()}, err
+}
+
+func (r *recorder) printf(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.out, "%7d ms  %s\n", time.Since(r.began).Milliseconds(), fmt.Sprintf(format, args...))
+}
+
+// spec is what a job's Spec tells a runner of this stand-in about its tasks.
+type spec struct {
+	CPU int64 `json:"cpu"`
+	Ms  int64 `json:"ms"`
+}
+
+type runKey struct {
+	task   string
+	number int64
+}
+
+type run struct {
+	key       runKey
+	cpu       int64
+	startedAt time.Time
+	length    time.Duration
+}
+
+type end struct {
+	n   int64
+	key runKey
+	how string
+}
+
+// runner is one runner as PROTOCOL.md describes it: it keeps the highest fencing
+// token, runs tasks under a lease on its own clock, guards its capacity and lists
+// its runs and ends.
+type runner struct {
+	fleet    *fleet
+	id, zone string
+	address  string
+	cpu      int64
+	labels   []string
+	born     time.Time
+	fence    int64
+	lease    time.Time
+	runs     map[runKey]*run
+	ends     []end
+	lastEnd  int64
+	highest  map[string]int64
+	changed  chan struct{}
+	sequence int64
+	state    string // ready or draining
+	left     bool
+	// silent leaves requests unread, mute carries them out without an answer, and
+	// late is the share of starts and stops that get no answer and are carried out
+	// seconds later.
+	silent, mute bool
+	late         float64
+	failAll      bool
+	slow         int
+}
+
+// started is one start, for the checks at the end of a case.
+type started struct {
+	runner string
+	key    runKey
+	at     time.Time
+	endAt  time.Time // zero while at work
+	how    string
+}
+
+// fleet is all runners. One lock serves all of them, so that two runs of a task
+// can be seen at the moment of the second start.
+type fleet struct {
+	mu      sync.Mutex
+	rec     *recorder
+	runners []*runner
+	starts  map[string][]*started // by task
+	// doubled lists the starts of a task that was at work on another runner, or
+	// under another number on the same one.
+	doubled []string
+	// unguarded runners start what they are told to start; other is what else was
+	// seen to break a rule.
+	unguarded bool
+	other     []string
+	random    *rand.Rand
+	anti      map[string]int    // by job: AntiAffinity
+	label     map[string]string // by job: Requirements
+	ended     map[string]bool   // tasks that have ended done
+}
+
+func newFleet(rec *recorder) *fleet {
+	return &fleet{rec: rec, starts: map[string][]*started{}, random: rand.New(rand.NewSource(1)),
+		anti: map[string]int{}, label: map[string]string{}, ended: map[string]bool{}}
+}
+
+// add starts a runner on a free loopback port.
+func (f *fleet) add(id, zone string, cpu int64) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	w := &runner{fleet: f, id: id, zone: zone, address: ln.Addr().String(), cpu: cpu, labels: []string{"a", "r-" + zone}, born: time.Now(),
+		state: "ready", runs: map[runKey]*run{}, highest: map[string]int64{}, changed: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /godwitrelay/run-start", w.handle(w.start))
+	mux.HandleFunc("POST /godwitrelay/run-stop", w.handle(w.stop))
+	mux.HandleFunc("POST /godwitrelay/hold", w.handle(w.hold))
+	go func() { _ = http.Serve(ln, mux) }()
+	f.mu.Lock()
+	f.runners = append(f.runners, w)
+	f.mu.Unlock()
+	return nil
+}
+
+// record returns the entry of the runner in the store.
+func (w *runner) record() []byte {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.sequence++
+	data, _ := json.Marshal(map[string]any{
+		"Service": serviceName, "Address": w.address, "Zone": w.zone, "Version": "1", "Capacity": 8, "State": w.state, "ColdLeftMs": 0,
+		"Sequence": w.sequence, "born": w.born.UnixMilli(), "Machine": "m-" + w.id, "Labels": w.labels,
+		"FreeCapacity": map[string]any{"Cpu": w.cpu, "MemMb": 262144, "Gpu": 0},
+	})
+	return data
+}
+
+type order struct {
+	Task         string
+	RunID        int64 `json:"RunId"`
+	Spec         string
+	UntilMs      int64
+	FencingToken int64
+	LastSeen     int64
+	WaitMs       int64
+}
+
+func (w *runner) handle(f func(http.ResponseWriter, *http.Request, order)) http.HandlerFunc {
+	return func(out http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get("X-Expect-Instance"); id != "" && id != w.id {
+			out.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		var o order
+		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+			out.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		w.fleet.mu.Lock()
+		silent, mute := w.silent || w.left, w.mute
+		late := !strings.HasSuffix(r.URL.Path, "/hold") && w.fleet.random.Float64() < w.late
+		delay := 2*time.Second + time.Duration(w.fleet.random.Int63n(int64(10*time.Second)))
+		w.fleet.mu.Unlock()
+		switch {
+		case silent:
+			<-r.Context().Done()
+		case late:
+			w.fleet.rec.printf("runner %s: %s of task %s run %d comes %d ms late", w.id, r.URL.Path, o.Task, o.RunID, delay.Milliseconds())
+			time.AfterFunc(delay, func() { f(httptest.NewRecorder(), r.Clone(context.Background()), o) })
+			<-r.Context().Done()
+		case mute:
+			f(httptest.NewRecorder(), r, o)
+			<-r.Context().Done()
+		default:
+			f(out, r, o)
+		}
+	}
+}
+
+// restart starts the runner again under its id: it knows nothing of before.
+func (w *runner) restart() {
+	f := w.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	w.settle(now)
+	for _, r := range w.runs {
+		w.finish(r, now, "crashed")
+	}
+	w.born, w.fence, w.lease, w.ends, w.lastEnd, w.highest = now, 0, time.Time{}, nil, 0, map[string]int64{}
+	f.rec.printf("runner %s: restarted", w.id)
+}
+
+// clockMs is the runner's own steady clock.
+func (w *runner) clockMs(now time.Time) int64 { return now.Sub(w.born).Milliseconds() }
+
+// settle ends, as of now, what is done or whose lease has expired. The caller
+// holds the lock.
+func (w *runner) settle(now time.Time) {
+	var due []*run
+	for _, r := range w.runs {
+		if r.dueAt(w.lease).After(now) {
+			continue
+		}
+		due = append(due, r)
+	}
+	sort.Slice(due, func(a, b int) bool { return due[a].dueAt(w.lease).Before(due[b].dueAt(w.lease)) })
+	for _, r := range due {
+		how := "done"
+		if r.startedAt.Add(r.length).After(w.lease) {
+			how = "lapsed"
+		} else if w.failAll {
+			how = "failed"
+		} else {
+			w.fleet.ended[r.key.task] = true
+		}
+		w.finish(r, r.dueAt(w.lease), how)
+	}
+}
+
+func (r *run) dueAt(lease time.Time) time.Time {
+	if done := r.startedAt.Add(r.length); done.Before(lease) {
+		return done
+	}
+	return lease
+}
+
+func (w *runner) finish(r *run, at time.Time, how string) {
+	delete(w.runs, r.key)
+	w.lastEnd++
+	w.ends = append(w.ends, end{w.lastEnd, r.key, how})
+	w.highest[r.key.task] = max(w.highest[r.key.task], r.key.number)
+	for _, s := range w.fleet.starts[r.key.task] {
+		if s.runner == w.id && s.key == r.key && s.endAt.IsZero() {
+			s.endAt, s.how = at, how
+		}
+	}
+	w.fleet.rec.printf("runner %s: task %s run %d ended %s", w.id, r.key.task, r.key.number, how)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *runner) extend(now time.Time, untilMs int64) {
+	until := w.born.Add(time.Duration(untilMs) * time.Millisecond)
+	if limit := now.Add(holdMaxMs * time.Millisecond); until.After(limit) {
+		until = limit
+	}
+	if until.After(w.lease) {
+		w.lease = until
+	}
+}
+
+func (w *runner) start(out http.ResponseWriter, _ *http.Request, o order) {
+	f := w.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for _, other := range f.runners {
+		other.settle(now)
+	}
+	key := runKey{o.Task, o.RunID}
+	reject := func(reason string) {
+		f.rec.printf("runner %s: start of task %s run %d rejected: %s", w.id, o.Task, o.RunID, reason)
+		reply(out, http.StatusConflict, map[string]any{"ClockMs": w.clockMs(now), "Reason": reason})
+	}
+	if o.FencingToken < w.fence {
+		reject("fence")
+		return
+	}
+	w.fence = o.FencingToken
+	if w.runs[key] != nil {
+		w.extend(now, o.UntilMs)
+		reply(out, http.StatusOK, map[string]any{"ClockMs": w.clockMs(now)})
+		return
+	}
+	if o.UntilMs <= w.clockMs(now) {
+		reject("late")
+		return
+	}
+	w.extend(now, o.UntilMs)
+	if o.RunID <= w.highest[o.Task] {
+		reject("old")
+		return
+	}
+	var s spec
+	if err := json.Unmarshal([]byte(o.Spec), &s); err != nil {
+		out.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	used := int64(0)
+	for _, r := range w.runs {
+		used += r.cpu
+	}
+	if used+s.CPU > w.cpu && f.unguarded {
+		f.other = append(f.other, fmt.Sprintf("LIMIT: task %s run %d brings %s to %d of %d", o.Task, o.RunID, w.id, used+s.CPU, w.cpu))
+		f.rec.printf("%s", f.other[len(f.other)-1])
+	} else if used+s.CPU > w.cpu {
+		reject("room")
+		return
+	}
+	id, _, _ := strings.Cut(o.Task, ".")
+	if most := f.anti[id]; most > 0 {
+		n := 1
+		for k := range w.runs {
+			if strings.HasPrefix(k.task, id+".") {
+				n++
+			}
+		}
+		if n > most {
+			f.other = append(f.other, fmt.Sprintf("ROUTE: task %s run %d is number %d of its step on %s, at most %d allowed", o.Task, o.RunID, n, w.id, most))
+			f.rec.printf("%s", f.other[len(f.other)-1])
+		}
+	}
+	if want := f.label[id]; want != "" && !slices.Contains(w.labels, want) {
+		f.other = append(f.other, fmt.Sprintf("ROUTE: task %s on %s without label %s", o.Task, w.id, want))
+		f.rec.printf("%s", f.other[len(f.other)-1])
+	}
+	for _, other := range f.runners {
+		for _, r := range other.runs {
+			if r.key.task == o.Task {
+				f.doubled = append(f.doubled, fmt.Sprintf("task %s: run %d started on %s while run %d was at work on %s", o.Task, o.RunID, w.id, r.key.number, other.id))
+				f.rec.printf("TWO RUNS AT ONCE: %s", f.doubled[len(f.doubled)-1])
+			}
+		}
+	}
+	w.runs[key] = &run{key: key, cpu: s.CPU, startedAt: now, length: time.Duration(s.Ms) * time.Millisecond * time.Duration(max(w.slow, 1))}
+	f.starts[o.Task] = append(f.starts[o.Task], &started{runner: w.id, key: key, at: now})
+	f.rec.printf("runner %s: task %s run %d started", w.id, o.Task, o.RunID)
+	reply(out, http.StatusOK, map[string]any{"ClockMs": w.clockMs(now)})
+}
+
+func (w *runner) stop(out http.ResponseWriter, _ *http.Request, o order) {
+	f := w.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	w.settle(now)
+	if o.FencingToken < w.fence {
+		reply(out, http.StatusConflict, map[string]any{"ClockMs": w.clockMs(now), "Reason": "fence"})
+		return
+	}
+	w.fence = o.FencingToken
+	w.highest[o.Task] = max(w.highest[o.Task], o.RunID)
+	if r := w.runs[runKey{o.Task, o.RunID}]; r != nil {
+		w.finish(r, now, "stopped")
+	}
+	reply(out, http.StatusOK, map[string]any{"ClockMs": w.clockMs(now)})
+}
+
+func (w *runner) hold(out http.ResponseWriter, r *http.Request, o order) {
+	f := w.fleet
+	until := time.Now().Add(time.Duration(min(o.WaitMs, maxWaitMs)) * time.Millisecond)
+	for first := true; ; first = false {
+		f.mu.Lock()
+		now := time.Now()
+		w.settle(now)
+		if o.FencingToken < w.fence {
+			f.mu.Unlock()
+			reply(out, http.StatusConflict, map[string]any{"ClockMs": w.clockMs(now), "Reason": "fence"})
+			return
+		}
+		w.fence = o.FencingToken
+		if first && o.UntilMs > 0 {
+			w.extend(now, o.UntilMs)
+		}
+		kept := w.ends[:0]
+		for _, e := range w.ends {
+			if e.n > o.LastSeen {
+				kept = append(kept, e)
+			}
+		}
+		w.ends = kept
+		if len(w.ends) > 0 || !now.Before(until) {
+			body := w.lists(now)
+			f.mu.Unlock()
+			reply(out, http.StatusOK, body)
+			return
+		}
+		wake, next := w.changed, until
+		for _, r := range w.runs {
+			if due := r.dueAt(w.lease); due.Before(next) {
+				next = due
+			}
+		}
+		f.mu.Unlock()
+		select {
+		case <-wake:
+		case <-time.After(time.Until(next)):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (w *runner) lists(now time.Time) map[string]any {
+	running, ended := [][]any{}, [][]any{}
+	for _, r := range w.runs {
+		percent := int(100 * now.Sub(r.startedAt) / max(r.length, 1))
+		running = append(running, []any{r.key.task, r.key.number, "", min(percent, 100), float64(r.cpu)})
+	}
+	sort.Slice(running, func(a, b int) bool { return running[a][0].(string) < running[b][0].(string) })
+	for _, e := range w.ends {
+		ended = append(ended, []any{e.n, e.key.task, e.key.number, e.how, ""})
+	}
+	return map[string]any{"ClockMs": w.clockMs(now), "born": w.born.UnixMilli(), "Running": running, "EndedRuns": ended}
+}
+
+// atWork returns the tasks of a job that are at work now.
+func (f *fleet) atWork(jobID string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	var list []string
+	for _, w := range f.runners {
+		w.settle(now)
+		for _, r := range w.runs {
+			if strings.HasPrefix(r.key.task, jobID+".") {
+				list = append(list, fmt.Sprintf("%s run %d on %s", r.key.task, r.key.number, w.id))
+			}
+		}
+	}
+	sort.Strings(list)
+	return list
+}
+
+// doubles returns the starts beside another run of the same task.
+func (f *fleet) doubles() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.doubled...)
+}
+
+func reply(out http.ResponseWriter, status int, body any) {
+	out.Header().Set("Content-Type", "application/json")
+	out.WriteHeader(status)
+	_ = json.NewEncoder(out).Encode(body)
+}
