--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -93,9 +93,15 @@
 	// late is the share of starts and stops that get no answer and are carried out
 	// seconds later.
 	silent, mute bool
-	late         float64
-	failAll      bool
-	slow         int
+	// delayStarts has the network keep starts back, without an answer, until the
+	// runner is back after a crash. kept are those starts.
+	delayStarts bool
+	kept        []order
+	server      *http.Server
+	mux         *http.ServeMux
+	late        float64
+	failAll     bool
+	slow        int
 }
 
 // started is one start, for the checks at the end of a case.
@@ -140,17 +146,47 @@
 	}
 	w := &runner{fleet: f, id: id, zone: zone, address: ln.Addr().String(), cpu: cpu, labels: []string{"a", "r-" + zone}, born: time.Now(),
 		state: "ready", runs: map[runKey]*run{}, highest: map[string]int64{}, changed: make(chan struct{})}
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /godwitrelay/run-start", w.handle(w.start))
-	mux.HandleFunc("POST /godwitrelay/run-stop", w.handle(w.stop))
-	mux.HandleFunc("POST /godwitrelay/hold", w.handle(w.hold))
-	go func() { _ = http.Serve(ln, mux) }()
+	w.mux = http.NewServeMux()
+	w.mux.HandleFunc("POST /godwitrelay/run-start", w.handle(w.start))
+	w.mux.HandleFunc("POST /godwitrelay/run-stop", w.handle(w.stop))
+	w.mux.HandleFunc("POST /godwitrelay/hold", w.handle(w.hold))
+	w.listen(ln)
 	f.mu.Lock()
 	f.runners = append(f.runners, w)
 	f.mu.Unlock()
 	return nil
 }
 
+func (w *runner) listen(ln net.Listener) {
+	w.server = &http.Server{Handler: w.mux}
+	go func(s *http.Server) { _ = s.Serve(ln) }(w.server)
+}
+
+// crash ends the runner and starts it again under its id after a while, at the same
+// address. Starts that the network has kept back reach it then.
+func (w *runner) crash(down time.Duration) error {
+	w.fleet.rec.printf("runner %s: crashed", w.id)
+	_ = w.server.Close()
+	w.restart()
+	time.Sleep(down)
+	w.fleet.mu.Lock()
+	w.born = time.Now()
+	kept := w.kept
+	w.kept, w.delayStarts = nil, false
+	w.fleet.mu.Unlock()
+	ln, err := net.Listen("tcp", w.address)
+	if err != nil {
+		return err
+	}
+	w.fleet.rec.printf("runner %s: back", w.id)
+	for _, o := range kept {
+		w.fleet.rec.printf("runner %s: the start of task %s run %d arrives late", w.id, o.Task, o.RunID)
+		w.start(httptest.NewRecorder(), nil, o)
+	}
+	w.listen(ln)
+	return nil
+}
+
 // record returns the entry of the runner in the store.
 func (w *runner) record() []byte {
 	w.fleet.mu.Lock()
@@ -187,10 +223,17 @@
 		}
 		w.fleet.mu.Lock()
 		silent, mute := w.silent || w.left, w.mute
+		keep := w.delayStarts && strings.HasSuffix(r.URL.Path, "/run-start")
+		if keep {
+			w.kept = append(w.kept, o)
+		}
 		late := !strings.HasSuffix(r.URL.Path, "/hold") && w.fleet.random.Float64() < w.late
 		delay := 2*time.Second + time.Duration(w.fleet.random.Int63n(int64(10*time.Second)))
 		w.fleet.mu.Unlock()
 		switch {
+		case keep:
+			w.fleet.rec.printf("runner %s: the start of task %s run %d is delayed and gets no answer", w.id, o.Task, o.RunID)
+			<-r.Context().Done()
 		case silent:
 			<-r.Context().Done()
 		case late:
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,15 +24,17 @@
 
 // cases maps names to plays. A play returns the exit code.
 var cases = map[string]func(p *platform, trouble bool) int{
-	"herd":  herd,
-	"wave":  wave,
-	"shift": shift,
+	"herd":   herd,
+	"wave":   wave,
+	"shift":  shift,
+	"reborn": reborn,
 }
 
 var layouts = map[string]layout{
-	"herd":  small,
-	"wave":  small,
-	"shift": grouped,
+	"herd":   small,
+	"wave":   small,
+	"shift":  grouped,
+	"reborn": small,
 }
 
 func main() {
