--- a/review/stand/cancel.go
+++ b/review/stand/cancel.go
@@ -8,6 +8,10 @@
 	"time"
 )
 
+// cancelPercent is the share of the jobs that are cancelled, the largest dose of
+// give_up in the site files.
+const cancelPercent = 40
+
 // cancelled is a job that its client cancelled.
 type cancelled struct {
 	id         string
@@ -20,13 +24,11 @@
 	return c.status/100 == 2 || c.status == http.StatusGone
 }
 
-// afterCancel is when a task of a cancelled job has to be gone.
-const afterCancel = (cancelMs + stopTimeoutMs) * time.Millisecond
-
-// checkCancelled waits until each acknowledged cancelling lies afterCancel back,
-// counted from calmFrom at the earliest, and returns broken if a task of such a job
+// checkCancelled waits until each acknowledged cancelling lies cancel_ms and
+// StopTimeoutMs back, counted from calmFrom at the earliest, and returns broken if a task of such a job
 // is at work then.
 func (p *platform) checkCancelled(list []cancelled, calmFrom time.Time) int {
+	bound := time.Duration(p.cancelMs+stopTimeoutMs) * time.Millisecond
 	acknowledged, left := 0, 0
 	for _, c := range list {
 		if !c.acknowledged() {
@@ -37,7 +39,7 @@
 		if calmFrom.After(from) {
 			from = calmFrom
 		}
-		time.Sleep(time.Until(from.Add(afterCancel + 200*time.Millisecond)))
+		time.Sleep(time.Until(from.Add(bound + 200*time.Millisecond)))
 		if tasks := p.fleet.atWork(c.id); len(tasks) > 0 {
 			left++
 			p.rec.printf("STILL AT WORK: job %s, whose DELETE was answered %d %d ms ago: %v", c.id, c.status, time.Since(c.answeredAt).Milliseconds(), tasks)
@@ -79,11 +81,12 @@
 			others = append(others, m)
 		}
 	}
-	jobs := make([]job, 20)
+	jobs := make([]job, 50)
 	for i := range jobs {
-		jobs[i] = newJob(r, 2, 20000, 14000, 30000)
+		jobs[i] = newJob(r, 2, 10000, 14000, 30000)
 	}
 	p.submitAll(others, jobs)
+	jobs = jobs[:len(jobs)*cancelPercent/100]
 	time.Sleep(time.Second)
 	if trouble {
 		holders[0].signal(syscall.SIGKILL)
@@ -111,24 +114,25 @@
 	}
 	cancels.Wait()
 	// The machines are in touch again ContactMs after the restart.
-	return p.checkCancelled(list, (<-restarted).Add(contactMs*time.Millisecond))
+	return p.checkCancelled(list, (<-restarted).Add(time.Duration(p.contactMs)*time.Millisecond))
 }
 
-// shift has clients submit jobs in their zone and cancel them from another zone, to
-// which they have moved.
+// shift has clients submit jobs in their zone and cancel some of them from another zone,
+// to which these clients have moved.
 func shift(p *platform, trouble bool) int {
 	r := rand.New(rand.NewSource(3))
 	half := len(p.machines) / 2
 	home, away := p.machines[:half], p.machines[half:]
-	jobs := make([]job, 12)
+	jobs := make([]job, 30)
 	for i := range jobs {
-		jobs[i] = newJob(r, 2, 20000, 7000, 20000)
+		jobs[i] = newJob(r, 2, 14000, 7000, 20000)
 	}
 	p.submitAll(home, jobs)
+	jobs = jobs[:len(jobs)*cancelPercent/100]
 	time.Sleep(time.Second)
 	from := home
 	if trouble {
-		p.rec.printf("platform: the clients have moved from %s to %s", home[0].zone, away[0].zone)
+		p.rec.printf("platform: half of the clients, among them those that cancel, have moved from %s to %s", home[0].zone, away[0].zone)
 		from = away
 	}
 	list := make([]cancelled, len(jobs))
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -23,7 +23,7 @@
 }
 
 func newJob(r *rand.Rand, tasks int, cpu, ms, waitMs int64) job {
-	return job{id: fmt.Sprintf("%016x", r.Uint64()), tasks: tasks, spec: spec{cpu, ms}, waitMs: waitMs}
+	return job{id: fmt.Sprintf("%015xa", r.Uint64()>>4), tasks: tasks, spec: spec{cpu, ms}, waitMs: waitMs}
 }
 
 func (j job) body() []byte {
--- a/review/stand/entries.go
+++ b/review/stand/entries.go
@@ -29,6 +29,7 @@
 
 // platform is the operators' platform in small: store, runners and front machines.
 type platform struct {
+	layout
 	rec      *recorder
 	dir      string
 	program  string
@@ -39,6 +40,7 @@
 
 // layout says how large a platform is.
 type layout struct {
+	region                 string
 	zones                  []string
 	machinesPerZone        int
 	runnersPerZone         int
@@ -46,21 +48,28 @@
 	cpuShare               float64
 	memoryMB, linkMbps     int
 	drainMs, configApplyMs int
-	unguarded              bool
+	contactMs, cancelMs    int
 }
 
 // small is like himal-relay: 8 front machines in 4 zones, with half of its 48
 // runners.
 var small = layout{
-	zones: []string{"kalimati", "patan", "bhaktapur", "kirtipur"}, machinesPerZone: 2, runnersPerZone: 6, runnerCPU: 64000,
-	cpuShare: 0.4, memoryMB: 284, linkMbps: 1000, drainMs: 2000, configApplyMs: 2000,
+	region: "bagmati", zones: []string{"kalimati", "patan", "bhaktapur", "kirtipur"}, machinesPerZone: 2, runnersPerZone: 6, runnerCPU: 64000,
+	cpuShare: 0.4, memoryMB: 284, linkMbps: 1000, drainMs: 2000, configApplyMs: 2000, contactMs: 3000, cancelMs: 3000,
 }
 
-// grouped has front machines like the weakest ones of the grown sites, and more
+// wide has the machines of himal-relay and more runners than one of them can hold, so
+// that each zone has a holder of its own.
+var wide = layout{
+	region: "bagmati", zones: []string{"kalimati", "patan", "bhaktapur", "kirtipur"}, machinesPerZone: 2, runnersPerZone: 55, runnerCPU: 64000,
+	cpuShare: 0.4, memoryMB: 284, linkMbps: 1000, drainMs: 2000, configApplyMs: 2000, contactMs: 3000, cancelMs: 3000,
+}
+
+// grouped has front machines like the weakest ones of namta-trials-grown, and more
 // runners than one of them can hold, so that each zone has a holder of its own.
 var grouped = layout{
-	zones: []string{"kalimati", "patan"}, machinesPerZone: 3, runnersPerZone: 60, runnerCPU: 64000,
-	cpuShare: 0.192, memoryMB: 184, linkMbps: 200, drainMs: 3000, configApplyMs: 3000,
+	region: "lagos", zones: []string{"ikeja", "apapa"}, machinesPerZone: 3, runnersPerZone: 60, runnerCPU: 32000,
+	cpuShare: 0.192, memoryMB: 184, linkMbps: 200, drainMs: 3000, configApplyMs: 3000, contactMs: 4000, cancelMs: 4000,
 }
 
 func deploy(rec *recorder, l layout) (*platform, error) {
@@ -68,10 +77,9 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &platform{rec: rec, dir: dir, program: "target/platform", fleet: newFleet(rec)}
+	p := &platform{layout: l, rec: rec, dir: dir, program: "target/platform", fleet: &fleet{rec: rec}}
 	p.store = newStore()
-	p.store.configure(7, !l.unguarded)
-	p.fleet.unguarded = l.unguarded
+	p.store.configure(7)
 	for _, zone := range l.zones {
 		for i := range l.runnersPerZone {
 			if err := p.fleet.add(fmt.Sprintf("i-%s%02d", zone[:3], i), zone, l.runnerCPU); err != nil {
@@ -96,13 +104,13 @@
 		name := fmt.Sprintf("front-%s-%d", zone, i%l.machinesPerZone+1)
 		m := &machine{name: name, zone: zone, ip: ip, front: ip + port(ports.front), ready: ip + port(ports.ready),
 			settings: filepath.Join(dir, name+".toml"), log: filepath.Join(dir, name+".log")}
-		address, err := p.store.serve(name)
+		address, err := p.store.serve()
 		if err != nil {
 			return p, err
 		}
 		var zones strings.Builder
 		for _, z := range l.zones {
-			fmt.Fprintf(&zones, "%s = \"bagmati\"\n", z)
+			fmt.Fprintf(&zones, "%s = %q\n", z, l.region)
 		}
 		text := fmt.Sprintf(`NodeName = %q
 Role = "entry"
@@ -110,7 +118,7 @@
 Serves = ["front","control"]
 Ip = %q
 Zone = %q
-Region = "bagmati"
+Region = %q
 PortRange = [%d,%d]
 Seeds = %s
 Bootstrap = true
@@ -139,7 +147,7 @@
 [Bounds]
 SeedLagS = 3
 ReuseAfterS = 2
-ContactMs = 3000
+ContactMs = %d
 AckMs = 4000
 SyncS = 4
 DrainMs = %d
@@ -152,7 +160,7 @@
 HoldMaxMs = 1000
 StopTimeoutMs = 50
 GangTimeoutMs = 3000
-cancel_ms = 3000
+cancel_ms = %d
 visible_ms = 3000
 early_ms = 250
 finish_s = 14
@@ -169,8 +177,8 @@
 RecordBytes = 262144
 CallBytes = 2097152
 keep_s = 300
-`, name, ip, zone, ports.first, ports.first+15, seeds, zones.String(), m.front, m.ready, ip, port(ports.control),
-			l.cpuShare, l.memoryMB, l.linkMbps, l.drainMs, l.configApplyMs, address)
+`, name, ip, zone, l.region, ports.first, ports.first+15, seeds, zones.String(), m.front, m.ready, ip, port(ports.control),
+			l.cpuShare, l.memoryMB, l.linkMbps, l.contactMs, l.drainMs, l.configApplyMs, l.cancelMs, address)
 		if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 			return p, err
 		}
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -1,15 +1,12 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -20,9 +17,7 @@
 const (
 	holdMaxMs     = 1000
 	stopTimeoutMs = 50
-	cancelMs      = 3000
 	retransmitMs  = 1300
-	contactMs     = 3000
 	maxWaitMs     = 2000
 )
 
@@ -87,30 +82,14 @@
 	highest  map[string]int64
 	changed  chan struct{}
 	sequence int64
-	state    string // ready or draining
-	left     bool
-	// silent leaves requests unread, mute carries them out without an answer, and
-	// late is the share of starts and stops that get no answer and are carried out
-	// seconds later.
-	silent, mute bool
+	// down is set while the runner has crashed.
+	down bool
 	// delayStarts has the network keep starts back, without an answer, until the
 	// runner is back after a crash. kept are those starts.
 	delayStarts bool
 	kept        []order
 	server      *http.Server
 	mux         *http.ServeMux
-	late        float64
-	failAll     bool
-	slow        int
-}
-
-// started is one start, for the checks at the end of a case.
-type started struct {
-	runner string
-	key    runKey
-	at     time.Time
-	endAt  time.Time // zero while at work
-	how    string
 }
 
 // fleet is all runners. One lock serves all of them, so that two runs of a task
@@ -119,23 +98,9 @@
 	mu      sync.Mutex
 	rec     *recorder
 	runners []*runner
-	starts  map[string][]*started // by task
 	// doubled lists the starts of a task that was at work on another runner, or
 	// under another number on the same one.
 	doubled []string
-	// unguarded runners start what they are told to start; other is what else was
-	// seen to break a rule.
-	unguarded bool
-	other     []string
-	random    *rand.Rand
-	anti      map[string]int    // by job: AntiAffinity
-	label     map[string]string // by job: Requirements
-	ended     map[string]bool   // tasks that have ended done
-}
-
-func newFleet(rec *recorder) *fleet {
-	return &fleet{rec: rec, starts: map[string][]*started{}, random: rand.New(rand.NewSource(1)),
-		anti: map[string]int{}, label: map[string]string{}, ended: map[string]bool{}}
 }
 
 // add starts a runner on a free loopback port.
@@ -145,7 +110,7 @@
 		return err
 	}
 	w := &runner{fleet: f, id: id, zone: zone, address: ln.Addr().String(), cpu: cpu, labels: []string{"a", "r-" + zone}, born: time.Now(),
-		state: "ready", runs: map[runKey]*run{}, highest: map[string]int64{}, changed: make(chan struct{})}
+		runs: map[runKey]*run{}, highest: map[string]int64{}, changed: make(chan struct{})}
 	w.mux = http.NewServeMux()
 	w.mux.HandleFunc("POST /godwitrelay/run-start", w.handle(w.start))
 	w.mux.HandleFunc("POST /godwitrelay/run-stop", w.handle(w.stop))
@@ -167,10 +132,10 @@
 func (w *runner) crash(down time.Duration) error {
 	w.fleet.rec.printf("runner %s: crashed", w.id)
 	_ = w.server.Close()
-	w.restart()
+	w.forget()
 	time.Sleep(down)
 	w.fleet.mu.Lock()
-	w.born = time.Now()
+	w.born, w.down = time.Now(), false
 	kept := w.kept
 	w.kept, w.delayStarts = nil, false
 	w.fleet.mu.Unlock()
@@ -187,13 +152,16 @@
 	return nil
 }
 
-// record returns the entry of the runner in the store.
+// record returns the entry of the runner in the store, or nothing while it is down.
 func (w *runner) record() []byte {
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
+	if w.down {
+		return nil
+	}
 	w.sequence++
 	data, _ := json.Marshal(map[string]any{
-		"Service": serviceName, "Address": w.address, "Zone": w.zone, "Version": "1", "Capacity": 8, "State": w.state, "ColdLeftMs": 0,
+		"Service": serviceName, "Address": w.address, "Zone": w.zone, "Version": "1", "Capacity": 8, "State": "ready", "ColdLeftMs": 0,
 		"Sequence": w.sequence, "born": w.born.UnixMilli(), "Machine": "m-" + w.id, "Labels": w.labels,
 		"FreeCapacity": map[string]any{"Cpu": w.cpu, "MemMb": 262144, "Gpu": 0},
 	})
@@ -222,45 +190,30 @@
 			return
 		}
 		w.fleet.mu.Lock()
-		silent, mute := w.silent || w.left, w.mute
 		keep := w.delayStarts && strings.HasSuffix(r.URL.Path, "/run-start")
 		if keep {
 			w.kept = append(w.kept, o)
 		}
-		late := !strings.HasSuffix(r.URL.Path, "/hold") && w.fleet.random.Float64() < w.late
-		delay := 2*time.Second + time.Duration(w.fleet.random.Int63n(int64(10*time.Second)))
 		w.fleet.mu.Unlock()
-		switch {
-		case keep:
+		if keep {
 			w.fleet.rec.printf("runner %s: the start of task %s run %d is delayed and gets no answer", w.id, o.Task, o.RunID)
 			<-r.Context().Done()
-		case silent:
-			<-r.Context().Done()
-		case late:
-			w.fleet.rec.printf("runner %s: %s of task %s run %d comes %d ms late", w.id, r.URL.Path, o.Task, o.RunID, delay.Milliseconds())
-			time.AfterFunc(delay, func() { f(httptest.NewRecorder(), r.Clone(context.Background()), o) })
-			<-r.Context().Done()
-		case mute:
-			f(httptest.NewRecorder(), r, o)
-			<-r.Context().Done()
-		default:
-			f(out, r, o)
+			return
 		}
+		f(out, r, o)
 	}
 }
 
-// restart starts the runner again under its id: it knows nothing of before.
-func (w *runner) restart() {
-	f := w.fleet
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// forget ends all that runs, as the crash of the runner does.
+func (w *runner) forget() {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
 	now := time.Now()
 	w.settle(now)
 	for _, r := range w.runs {
-		w.finish(r, now, "crashed")
+		w.finish(r, "crashed")
 	}
-	w.born, w.fence, w.lease, w.ends, w.lastEnd, w.highest = now, 0, time.Time{}, nil, 0, map[string]int64{}
-	f.rec.printf("runner %s: restarted", w.id)
+	w.down, w.fence, w.lease, w.ends, w.lastEnd, w.highest, w.sequence = true, 0, time.Time{}, nil, 0, map[string]int64{}, 0
 }
 
 // clockMs is the runner's own steady clock.
@@ -281,12 +234,8 @@
 		how := "done"
 		if r.startedAt.Add(r.length).After(w.lease) {
 			how = "lapsed"
-		} else if w.failAll {
-			how = "failed"
-		} else {
-			w.fleet.ended[r.key.task] = true
 		}
-		w.finish(r, r.dueAt(w.lease), how)
+		w.finish(r, how)
 	}
 }
 
@@ -297,16 +246,11 @@
 	return lease
 }
 
-func (w *runner) finish(r *run, at time.Time, how string) {
+func (w *runner) finish(r *run, how string) {
 	delete(w.runs, r.key)
 	w.lastEnd++
 	w.ends = append(w.ends, end{w.lastEnd, r.key, how})
 	w.highest[r.key.task] = max(w.highest[r.key.task], r.key.number)
-	for _, s := range w.fleet.starts[r.key.task] {
-		if s.runner == w.id && s.key == r.key && s.endAt.IsZero() {
-			s.endAt, s.how = at, how
-		}
-	}
 	w.fleet.rec.printf("runner %s: task %s run %d ended %s", w.id, r.key.task, r.key.number, how)
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -363,30 +307,10 @@
 	for _, r := range w.runs {
 		used += r.cpu
 	}
-	if used+s.CPU > w.cpu && f.unguarded {
-		f.other = append(f.other, fmt.Sprintf("LIMIT: task %s run %d brings %s to %d of %d", o.Task, o.RunID, w.id, used+s.CPU, w.cpu))
-		f.rec.printf("%s", f.other[len(f.other)-1])
-	} else if used+s.CPU > w.cpu {
+	if used+s.CPU > w.cpu {
 		reject("room")
 		return
 	}
-	id, _, _ := strings.Cut(o.Task, ".")
-	if most := f.anti[id]; most > 0 {
-		n := 1
-		for k := range w.runs {
-			if strings.HasPrefix(k.task, id+".") {
-				n++
-			}
-		}
-		if n > most {
-			f.other = append(f.other, fmt.Sprintf("ROUTE: task %s run %d is number %d of its step on %s, at most %d allowed", o.Task, o.RunID, n, w.id, most))
-			f.rec.printf("%s", f.other[len(f.other)-1])
-		}
-	}
-	if want := f.label[id]; want != "" && !slices.Contains(w.labels, want) {
-		f.other = append(f.other, fmt.Sprintf("ROUTE: task %s on %s without label %s", o.Task, w.id, want))
-		f.rec.printf("%s", f.other[len(f.other)-1])
-	}
 	for _, other := range f.runners {
 		for _, r := range other.runs {
 			if r.key.task == o.Task {
@@ -395,8 +319,7 @@
 			}
 		}
 	}
-	w.runs[key] = &run{key: key, cpu: s.CPU, startedAt: now, length: time.Duration(s.Ms) * time.Millisecond * time.Duration(max(w.slow, 1))}
-	f.starts[o.Task] = append(f.starts[o.Task], &started{runner: w.id, key: key, at: now})
+	w.runs[key] = &run{key: key, cpu: s.CPU, startedAt: now, length: time.Duration(s.Ms) * time.Millisecond}
 	f.rec.printf("runner %s: task %s run %d started", w.id, o.Task, o.RunID)
 	reply(out, http.StatusOK, map[string]any{"ClockMs": w.clockMs(now)})
 }
@@ -414,7 +337,7 @@
 	w.fence = o.FencingToken
 	w.highest[o.Task] = max(w.highest[o.Task], o.RunID)
 	if r := w.runs[runKey{o.Task, o.RunID}]; r != nil {
-		w.finish(r, now, "stopped")
+		w.finish(r, "stopped")
 	}
 	reply(out, http.StatusOK, map[string]any{"ClockMs": w.clockMs(now)})
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -25,15 +25,17 @@
 // cases maps names to plays. A play returns the exit code.
 var cases = map[string]func(p *platform, trouble bool) int{
 	"herd":   herd,
-	"wave":   wave,
+	"lone":   lone,
 	"shift":  shift,
+	"wave":   wave,
 	"reborn": reborn,
 }
 
 var layouts = map[string]layout{
 	"herd":   small,
-	"wave":   small,
+	"lone":   wide,
 	"shift":  grouped,
+	"wave":   small,
 	"reborn": small,
 }
 
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -26,53 +26,23 @@
 	logs   map[string][][]byte
 	newest map[string]map[string]newestRecord
 	mux    *http.ServeMux
-	// mode is "" (good), busy, silent or slow, for all machines or by machine.
-	mode   string
-	modeOf map[string]string
 }
 
-// serve opens another address of the store, for one machine, and returns it.
-func (s *store) serve(name string) (string, error) {
+// serve opens an address of the store for one machine and returns it.
+func (s *store) serve() (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
 	go func() {
 		_ = http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			s.mu.Lock()
-			mode := s.mode
-			if mode == "" {
-				mode = s.modeOf[name]
-			}
-			s.mu.Unlock()
-			delay := storeLatency
-			switch mode {
-			case "busy":
-				w.WriteHeader(http.StatusServiceUnavailable)
-				return
-			case "silent":
-				<-r.Context().Done()
-				return
-			case "slow":
-				delay *= 50
-			}
-			time.Sleep(delay)
+			time.Sleep(storeLatency)
 			s.mux.ServeHTTP(w, r)
 		}))
 	}()
 	return ln.Addr().String(), nil
 }
 
-func (s *store) set(name, mode string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if name == "" {
-		s.mode = mode
-		return
-	}
-	s.modeOf[name] = mode
-}
-
 type newestRecord struct {
 	Key    string
 	Value  []byte
@@ -80,7 +50,7 @@
 }
 
 func newStore() *store {
-	s := &store{logs: map[string][][]byte{}, newest: map[string]map[string]newestRecord{}, modeOf: map[string]string{}, mux: http.NewServeMux()}
+	s := &store{logs: map[string][][]byte{}, newest: map[string]map[string]newestRecord{}, mux: http.NewServeMux()}
 	s.mux.HandleFunc("POST /godwitrelay/log-append", s.append)
 	s.mux.HandleFunc("GET /godwitrelay/log-read", s.read)
 	s.mux.HandleFunc("GET /godwitrelay/log-newest", s.list)
@@ -164,12 +134,12 @@
 }
 
 // configure writes a configuration with one queue, as the operator does.
-func (s *store) configure(version int, guarded bool) {
+func (s *store) configure(version int) {
 	data, _ := json.Marshal(map[string]any{
 		"Version": version,
 		"Routes": []map[string]any{{"Name": "r-1", "Host": queueHost, "Prefix": queuePrefix, "Service": serviceName, "TimeoutMs": 15000,
 			"Priority": 0, "MaxAttempts": 4, "Stretch": 1.6, "TargetLatencyMs": 60}},
-		"Services": []map[string]any{{"Name": serviceName, "AdmissionCheck": guarded}},
+		"Services": []map[string]any{{"Name": serviceName, "AdmissionCheck": true}},
 		"Limits":   map[string]any{"MaxBodyBytes": 262144},
 	})
 	s.put("keyed.op", "config", data)
@@ -182,17 +152,10 @@
 		runners := append([]*runner(nil), f.runners...)
 		f.mu.Unlock()
 		for _, w := range runners {
-			if w.here() {
-				s.put("keyed.servers", w.id, w.record())
+			if record := w.record(); record != nil {
+				s.put("keyed.servers", w.id, record)
 			}
 		}
 		time.Sleep(heartbeat)
 	}
 }
-
-// here reports whether the runner has not left.
-func (w *runner) here() bool {
-	w.fleet.mu.Lock()
-	defer w.fleet.mu.Unlock()
-	return !w.left
-}
