--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -98,6 +98,8 @@
 	mu      sync.Mutex
 	rec     *recorder
 	runners []*runner
+	// orders counts the starts that were sent.
+	orders int
 	// doubled lists the starts of a task that was at work on another runner, or
 	// under another number on the same one.
 	doubled []string
@@ -190,7 +192,11 @@
 			return
 		}
 		w.fleet.mu.Lock()
-		keep := w.delayStarts && strings.HasSuffix(r.URL.Path, "/run-start")
+		start := strings.HasSuffix(r.URL.Path, "/run-start")
+		if start {
+			w.fleet.orders++
+		}
+		keep := w.delayStarts && start
 		if keep {
 			w.kept = append(w.kept, o)
 		}
