placer: leases end before the callers of a lost owner return

Cause: an owner renews the leases of a worker as a whole. After all entries were killed, or one of a group of two, the next owner claims 0.75 to 1.0 s later, renews the leases of runs that no entry asks for, and stops them only 0.6 s after it has seen them.

Change: leases are not renewed beyond 1.2 s after a run on the worker lost its job, by holds or by starts. For a run that is found on a worker that time follows from when the previous owner was last known to be alive, which the elector now reports; if it is not known, the leases are not renewed while the run is listed. Runs that no job has been matched with are stopped 0.3 s after the claim. So they end before the callers return, however late the claim comes.

--- a/entry/elector/elector.go
+++ b/entry/elector/elector.go
@@ -59,6 +59,9 @@
 	// workers that another owner took over. One claim covers all workers taken
 	// over so far.
 	reclaimInterval = 100 * time.Millisecond
+	// settledOwnership is how long an entry must have followed an owner to rely on it
+	// having stopped the runs that the owner before it left behind.
+	settledOwnership = 1500 * time.Millisecond
 	// minOwnership is how long an owner keeps the workers before it may hand
 	// them over to a stronger entry.
 	minOwnership = 2 * time.Second
@@ -114,10 +117,13 @@
 	othersPingedAt time.Time
 	owner          string
 	// ownerSince is when this entry began to follow the owner.
-	ownerSince  time.Time
-	claimedAtMs int64
-	isOwner     bool
-	draining    bool
+	ownerSince time.Time
+	// previousOwnerHeardAt is a time at which the owner before the current one was
+	// still alive, or zero if none is known.
+	previousOwnerHeardAt time.Time
+	claimedAtMs          int64
+	isOwner              bool
+	draining             bool
 	// successor is the entry to which this owner handed the workers.
 	successor     string
 	searchSince   time.Time
@@ -228,7 +234,7 @@
 		s.applyView(now, m)
 	case PingAnswered:
 		m := s.recordView(now, msg.View)
-		m.replyReceivedAt, m.pingPending = now, false
+		m.replyReceivedAt, m.answeredPingSentAt, m.pingPending = now, m.pingSentAt, false
 		if m.view.ClaimedAtMs == 0 && s.owner == m.Address && m.pingSentAt.Before(s.ownerSince) {
 			// The reply may have been sent before the entry claimed the workers.
 			break
--- a/entry/elector/elector_test.go
+++ b/entry/elector/elector_test.go
@@ -57,6 +57,32 @@
 	}
 }
 
+// TestPreviousOwnerHeardAt guards against an owner that takes its predecessor to have
+// been alive after it was lost, or to have been the owner for longer than it was: it
+// would keep runs at work after their callers resubmitted the jobs.
+func TestPreviousOwnerHeardAt(t *testing.T) {
+	n := newNetwork(2, 8)
+	n.run(5 * time.Second)
+	replace := func() *entry {
+		before := n.checkOneOwner(t, runningEntries(n)...)
+		lostAt := n.now
+		n.entries[before].down = true
+		n.run(850 * time.Millisecond)
+		next := n.entries[n.checkOneOwner(t, runningEntries(n)...)]
+		if next.previousHeardAt.After(lostAt) {
+			t.Errorf("the owner was lost %v before it was heard last", next.previousHeardAt.Sub(lostAt))
+		}
+		return next
+	}
+	lostAt := n.now
+	if age := lostAt.Sub(replace().previousHeardAt); age > 500*time.Millisecond {
+		t.Errorf("an owner of long standing was heard last %v before it was lost", age)
+	}
+	if at := replace().previousHeardAt; !at.IsZero() {
+		t.Errorf("an owner that was lost 0.85 s after another one counts as heard at %v", at)
+	}
+}
+
 // TestOwnerResumes guards against two owners after a suspension. An owner that
 // was suspended must release the workers before it does anything else.
 func TestOwnerResumes(t *testing.T) {
--- a/entry/elector/member.go
+++ b/entry/elector/member.go
@@ -84,7 +84,9 @@
 	pingReceivedAt  time.Time
 	replyReceivedAt time.Time
 	pingSentAt      time.Time
-	addedOrListedAt time.Time
+	// answeredPingSentAt is when the last answered ping was sent.
+	answeredPingSentAt time.Time
+	addedOrListedAt    time.Time
 	// failedAt is when a ping to the entry last failed.
 	failedAt    time.Time
 	pingPending bool
--- a/entry/elector/message.go
+++ b/entry/elector/message.go
@@ -1,5 +1,7 @@
 package elector
 
+import "time"
+
 // Msg is an input event of [State.Update].
 type Msg interface{ isMsg() }
 
@@ -70,6 +72,9 @@
 	// Heard and Known are the counts of entries heard recently and known,
 	// including this one.
 	Heard, Known int
+	// PreviousOwnerHeardAt is a time at which the previous owner was still alive, or
+	// zero if none is known.
+	PreviousOwnerHeardAt time.Time
 }
 
 // Release gives up the workers. Moved is set if another owner takes over the
--- a/entry/elector/network_test.go
+++ b/entry/elector/network_test.go
@@ -25,9 +25,11 @@
 	down, frozen bool
 	owning       bool
 	contested    bool
-	claims       int
-	handovers    int
-	lost         []string
+	// previousHeardAt is when the owner before the last claim was heard.
+	previousHeardAt time.Time
+	claims          int
+	handovers       int
+	lost            []string
 	// followed lists the owners that the entry has followed, in order.
 	followed []string
 	// group and groupDomain are assigned to the entry after its start.
@@ -191,7 +193,7 @@
 		case elector.Ping:
 			n.ping(i, cmd.Address)
 		case elector.Claim:
-			e.owning, e.contested = true, cmd.Contested
+			e.owning, e.contested, e.previousHeardAt = true, cmd.Contested, cmd.PreviousOwnerHeardAt
 			e.claims++
 		case elector.Release:
 			e.owning = false
--- a/entry/elector/owner.go
+++ b/entry/elector/owner.go
@@ -53,6 +53,9 @@
 		return
 	}
 	s.emit(OwnerChanged{Address: address, Previous: s.owner, Reason: reason})
+	if s.owner != "" {
+		s.previousOwnerHeardAt = s.ownerHeardAt(now)
+	}
 	s.owner, s.ownerSince = address, now
 	if address == "" {
 		s.searchSince = now
@@ -62,11 +65,26 @@
 	}
 }
 
+// ownerHeardAt returns a time at which the current owner was alive, or zero if it
+// has not been the owner for long: runs that the owner before it left behind may then
+// still be in progress.
+func (s *State) ownerHeardAt(now time.Time) time.Time {
+	m := s.members[s.owner]
+	if m == nil || now.Sub(s.ownerSince) < settledOwnership {
+		return time.Time{}
+	}
+	return m.answeredPingSentAt
+}
+
 func (s *State) claim(now time.Time, contested bool, reason string) {
 	s.isOwner, s.successor, s.ownedAt, s.contested = true, "", now, contested
 	s.claimedAtMs = max(s.wallMs, 1)
 	heard, known := s.countMembers(now)
-	s.emit(Claim{WallMs: s.wallMs, Contested: contested, Heard: heard, Known: known})
+	previousHeardAt := s.previousOwnerHeardAt
+	if s.owner != "" {
+		previousHeardAt = s.ownerHeardAt(now)
+	}
+	s.emit(Claim{WallMs: s.wallMs, Contested: contested, Heard: heard, Known: known, PreviousOwnerHeardAt: previousHeardAt})
 	s.setOwner(now, s.self.Address, reason)
 	// Pings the entries that may belong to the group so that those about to claim
 	// ownership learn of this owner.
--- a/entry/placer/doc.go
+++ b/entry/placer/doc.go
@@ -23,6 +23,10 @@
 // new owner matches the runs and ends that workers list with the jobs that are
 // resubmitted to it.
 //
+// An orphan is a run without a job: its job has ended, or no job has been matched
+// with it. Its caller may resubmit the job to any entry, also to one of another
+// worker group, whose owner does not know of the run.
+//
 // Ownership is contested if another owner may exist: when it claimed, the entry
 // had heard only itself or at most half of the entries, so the others may have
 // elected an owner too.
@@ -91,10 +95,24 @@
 	// confirmed has ended only if a list requested later does not include it.
 	// Runs on a worker that has not responded for this long are discarded.
 	lateStartPeriod = 15 * time.Second
-	// adoptionTimeout is how long runs from a previous owner wait to be matched
-	// with their jobs, and jobs with their runs. Callers resubmit a job after
-	// 1.3 s, and runs without a job must have been stopped by then.
+	// adoptionTimeout is how long jobs wait to be matched with their runs under a
+	// previous owner.
 	adoptionTimeout = 600 * time.Millisecond
+	// orphanMatchTimeout is how long after a claim runs without a job wait to be
+	// matched with one. Entries that are alive learn of a new owner within two
+	// pings of 150 ms, and then resubmit their jobs.
+	orphanMatchTimeout = 300 * time.Millisecond
+	// orphanLease is how long after a run lost its job the leases on its worker may
+	// be renewed. Callers resubmit a job 1.3 s after their connection broke, to any
+	// entry, and the run must have ended by then. A worker's clock may be 2 percent
+	// slow.
+	orphanLease = 1200 * time.Millisecond
+	// orphanStopAllowance is how long before its loss the previous owner may have lost
+	// a job whose runs it had not stopped yet: two stop requests may get no answer.
+	orphanStopAllowance = 300 * time.Millisecond
+	// minStartLease is the minimum lease with which a run is started. Leases are
+	// shorter than leaseDuration beside a run without a job.
+	minStartLease = 300 * time.Millisecond
 	// endRetention is how long the ends of runs that this owner has no record
 	// of, because a previous owner started them, are kept so that they can be
 	// matched with jobs that are resubmitted to this owner later.
--- a/entry/placer/message.go
+++ b/entry/placer/message.go
@@ -28,6 +28,9 @@
 	// HighestKnownFence is the highest fence known to this entry.
 	HighestKnownFence int64
 	Contested         bool
+	// PreviousOwnerHeardAt is when this entry last heard the owner that it
+	// replaces, or zero if it heard none.
+	PreviousOwnerHeardAt time.Time
 }
 
 // Release gives up all workers. Moved is set if another owner takes over the
--- /dev/null
+++ b/entry/placer/orphan_test.go
@@ -0,0 +1,253 @@
+package placer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/godwitrelay/godwitrelay/entry/placer"
+	"github.com/godwitrelay/godwitrelay/standin/fleet/executor"
+)
+
+// resubmitDelay is the time from a broken connection of a caller until the caller
+// resubmits its job.
+const resubmitDelay = 1300 * time.Millisecond
+
+// resubmit submits a job again on behalf of its caller, who knows of no runs. Its run
+// numbers start again.
+func (s *simulation) resubmit(o *owner, j *submittedJob) {
+	for i := range j.job.Tasks {
+		delete(s.runNumbers, fmt.Sprintf("%s.0.0.%d", j.job.ID, i))
+	}
+	s.submit(o, j.job, j.task)
+}
+
+// runsOf returns the number of runs of a job in execution.
+func (s *simulation) runsOf(j *submittedJob) int {
+	n := 0
+	for _, m := range s.machines {
+		for _, r := range m.Runs(s.now) {
+			for i := range j.job.Tasks {
+				if r.Key.Task == fmt.Sprintf("%s.0.0.%d", j.job.ID, i) {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
+func (s *simulation) checkCompleted(t *testing.T, j *submittedJob) {
+	t.Helper()
+	if n := len(j.answers); n == 0 || !j.answers[n-1].Completed {
+		t.Errorf("job %s: answers %+v, want completed", j.job.ID, j.answers)
+	}
+}
+
+// TestOrphansEndBeforeResubmission guards against a second run of a task beside one
+// of a lost owner. The next owner claims late, after all entries were lost, and must
+// not keep the runs at work that nobody waits for: their callers may resubmit their
+// jobs to another worker group, whose owner does not know of them.
+func TestOrphansEndBeforeResubmission(t *testing.T) {
+	for _, claimDelay := range []time.Duration{100, 300, 500, 750, 900, 1000} {
+		for _, contested := range []bool{false, true} {
+			t.Run(fmt.Sprintf("claim after %d ms, contested %v", claimDelay, contested), func(t *testing.T) {
+				s := newSimulation(1, 8, 2)
+				first, next := s.owners[0], s.owners[1]
+				s.deliver(first, placer.Claim{WallMs: s.now.UnixMilli()})
+				s.run(100 * time.Millisecond)
+				task := executor.Task{CPU: 27000, Duration: 3 * time.Second}
+				j := s.submit(first, newJob("j0000", 8, 27000, 3000), task)
+				s.run(200 * time.Millisecond)
+				first.crashed = true
+				s.run(claimDelay * time.Millisecond)
+				s.deliver(next, placer.Claim{WallMs: s.now.UnixMilli(), Contested: contested})
+				s.run((resubmitDelay - claimDelay*time.Millisecond))
+				if n := s.runsOf(j); n > 0 {
+					t.Errorf("%d runs of the lost owner are still in progress when the caller resubmits the job", n)
+				}
+				s.resubmit(next, j)
+				s.run(5 * time.Second)
+				s.checkNoViolations(t)
+				s.checkCompleted(t, j)
+			})
+		}
+	}
+}
+
+// TestJobOutlivesOrphans guards against jobs that are lost to their owner's death
+// because runs without a job are on the same workers.
+func TestJobOutlivesOrphans(t *testing.T) {
+	s := newSimulation(1, 8, 2)
+	first, next := s.owners[0], s.owners[1]
+	s.deliver(first, placer.Claim{WallMs: s.now.UnixMilli()})
+	s.run(100 * time.Millisecond)
+	task := executor.Task{CPU: 27000, Duration: 2 * time.Second}
+	orphaned := s.submit(first, newJob("j0000", 8, 27000, 2000), task)
+	matched := s.submit(first, newJob("j0001", 8, 27000, 2000), task)
+	s.run(200 * time.Millisecond)
+	first.crashed = true
+	s.run(300 * time.Millisecond)
+	s.deliver(next, placer.Claim{WallMs: s.now.UnixMilli()})
+	s.run(100 * time.Millisecond)
+	s.submit(next, matched.job, task, placer.UnknownPlacements(matched.job.Tasks, nil)...)
+	s.run(2 * time.Second)
+	s.checkCompleted(t, matched)
+	if n := s.runsOf(orphaned); n > 0 {
+		t.Errorf("%d runs without a job are still in progress", n)
+	}
+	if s.startedRuns != 16 {
+		t.Errorf("%d runs were started for 16 tasks", s.startedRuns)
+	}
+}
+
+// TestOrphansAreNotRenewedByStarts guards against runs that nobody waits for and that
+// go on because the start of another task renews the leases on their worker. The
+// previous owner was last heard at a known time, so that tasks can start beside them.
+func TestOrphansAreNotRenewedByStarts(t *testing.T) {
+	s := newSimulation(1, 8, 2)
+	first, next := s.owners[0], s.owners[1]
+	s.deliver(first, placer.Claim{WallMs: s.now.UnixMilli()})
+	s.run(100 * time.Millisecond)
+	task := executor.Task{CPU: 27000, Duration: 3 * time.Second}
+	j := s.submit(first, newJob("j0000", 8, 27000, 3000), task)
+	s.run(200 * time.Millisecond)
+	heardAt := s.now
+	first.crashed = true
+	s.run(300 * time.Millisecond)
+	// The stops get no answer, so that only the leases end the runs.
+	s.faults.lostStops = 1
+	s.deliver(next, placer.Claim{WallMs: s.now.UnixMilli(), PreviousOwnerHeardAt: heardAt})
+	s.run(50 * time.Millisecond)
+	short := executor.Task{CPU: 20000, Duration: 100 * time.Millisecond}
+	beside := s.submit(next, newJob("j0001", 8, 20000, 100), short)
+	s.run(200 * time.Millisecond)
+	s.checkCompleted(t, beside)
+	s.run(resubmitDelay - 550*time.Millisecond)
+	if n := s.runsOf(j); n > 0 {
+		t.Errorf("%d runs of the lost owner are still in progress when the caller resubmits the job", n)
+	}
+}
+
+// TestOrphansUnderRepeatedOwnerChanges guards against runs that are still in progress
+// when their caller may resubmit the job to another worker group, over random series
+// of lost entries, lost owners and planned handovers, with stops that get no answer.
+func TestOrphansUnderRepeatedOwnerChanges(t *testing.T) {
+	for seed := range int64(historyCount()) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			h := &ownerChanges{simulation: newSimulation(seed, 12, 6), seed: seed}
+			h.play()
+			h.checkNoViolations(t)
+			if t.Failed() {
+				for _, line := range h.logLines {
+					t.Log(line)
+				}
+			}
+		})
+	}
+}
+
+// ownerChanges is a history of owner changes. Half of the jobs belong to an entry that
+// never ends; their callers keep their connections.
+type ownerChanges struct {
+	*simulation
+	seed       int64
+	generation int
+	heardAt    time.Time
+	changedAt  time.Time
+}
+
+func (h *ownerChanges) play() {
+	h.faults = faultRates{lostStops: 0.1 * h.random.Float64(), lostHolds: 0.05 * h.random.Float64()}
+	h.currentOwner = h.owners[0]
+	h.deliver(h.currentOwner, placer.Claim{WallMs: h.now.UnixMilli()})
+	h.run(100 * time.Millisecond)
+	for len(h.owners) > h.generation+1 {
+		var lost, kept []*submittedJob
+		for i := range 6 {
+			work := time.Duration(200+h.random.Intn(3000)) * time.Millisecond
+			job := newJob(fmt.Sprintf("j%04d", len(h.jobs)), 1+h.random.Intn(4), 27000, work.Milliseconds())
+			job.RemainingMs = 20_000
+			list := &kept
+			if i%2 == 0 {
+				list = &lost
+			}
+			*list = append(*list, h.submit(h.currentOwner, job, executor.Task{CPU: 27000, Duration: work}))
+		}
+		h.run(time.Duration(h.random.Intn(400)) * time.Millisecond)
+		h.loseEntry(lost)
+		for range 1 + h.random.Intn(3) {
+			if h.generation+1 < len(h.owners) {
+				h.changeOwner(kept)
+			}
+		}
+		h.run(4 * time.Second)
+	}
+}
+
+// loseEntry ends the entry of the given jobs. Their owner notices the broken
+// connections, and their callers resubmit them later.
+func (h *ownerChanges) loseEntry(lost []*submittedJob) {
+	o, lostAt := h.currentOwner, h.now
+	h.schedule(60*time.Millisecond, func(time.Time) {
+		for _, j := range lost {
+			h.deliver(o, placer.Cancel{JobID: j.job.ID})
+		}
+	})
+	h.schedule(resubmitDelay, func(now time.Time) {
+		for _, j := range lost {
+			if len(j.answers) > 0 && j.answers[len(j.answers)-1].Completed {
+				continue
+			}
+			if n := h.runsOf(j); n > 0 {
+				h.reportViolation("%d runs of job %s are in progress %v after its entry was lost", n, j.job.ID, now.Sub(lostAt))
+			}
+		}
+	})
+}
+
+// changeOwner replaces the owner: most often it is lost, with a claim of the next one
+// up to 1.2 s later, else it hands over as planned.
+func (h *ownerChanges) changeOwner(kept []*submittedJob) {
+	h.run(time.Duration(h.random.Intn(300)) * time.Millisecond)
+	from := h.currentOwner
+	h.generation++
+	to := h.owners[h.generation]
+	h.currentOwner = to
+	claim := placer.Claim{WallMs: h.now.UnixMilli() + int64(h.generation)*1000}
+	if h.random.Intn(3) == 0 {
+		h.deliver(from, placer.Release{Moved: true, Reason: "planned"})
+		claim.PreviousOwnerHeardAt = h.settled(h.now)
+		h.deliver(to, claim)
+		for _, j := range kept {
+			if n := len(j.answers); n > 0 && j.answers[n-1].Moved {
+				h.submit(to, j.job, j.task, j.answers[n-1].Placements...)
+			}
+		}
+		h.changedAt = h.now
+		return
+	}
+	heardAt := h.settled(h.now.Add(-time.Duration(h.random.Intn(150)) * time.Millisecond))
+	from.crashed = true
+	h.run(time.Duration(100+h.random.Intn(1100)) * time.Millisecond)
+	claim.Contested = h.random.Intn(3) == 0
+	claim.PreviousOwnerHeardAt = heardAt
+	h.deliver(to, claim)
+	h.changedAt = h.now
+	h.run(time.Duration(h.random.Intn(200)) * time.Millisecond)
+	for _, j := range kept {
+		if n := len(j.answers); n == 0 || j.answers[n-1].Moved {
+			h.submit(to, j.job, j.task, placer.UnknownPlacements(j.job.Tasks, nil)...)
+		}
+	}
+}
+
+// settled returns at, or zero if the owner has changed recently: no entry then relies
+// on the time at which it heard the owner.
+func (h *ownerChanges) settled(at time.Time) time.Time {
+	if h.now.Sub(h.changedAt) < 1500*time.Millisecond {
+		return time.Time{}
+	}
+	return at
+}
--- a/entry/placer/owner.go
+++ b/entry/placer/owner.go
@@ -11,6 +11,10 @@
 // owner took over.
 func (s *State) handleClaim(now time.Time, msg Claim) {
 	s.raiseFence(msg)
+	s.orphansMatchedBy, s.foundOrphanedAt = now.Add(orphanMatchTimeout), time.Time{}
+	if at := msg.PreviousOwnerHeardAt; !at.IsZero() {
+		s.foundOrphanedAt = at.Add(-orphanStopAllowance)
+	}
 	if !s.isOwner {
 		s.isOwner, s.contested = true, msg.Contested
 		s.log("became the owner of the workers", map[string]any{"fence": s.fence, "contested": msg.Contested, "workers": len(s.sortedWorkers)})
@@ -77,6 +81,9 @@
 func (s *State) sendDueHolds(now time.Time) {
 	for _, w := range s.sortedWorkers {
 		if w.phase == released && s.canClaim(now, w) {
+			if !s.contested {
+				s.orphansMatchedBy = now.Add(orphanMatchTimeout)
+			}
 			w.phase, w.fence, w.claimedAt = claiming, s.fence, now
 			w.resetRuns()
 		}
@@ -102,7 +109,7 @@
 		if other == w || other.FailureDomain != w.FailureDomain || other.phase == released {
 			continue
 		}
-		if other.phase == owned && other.unansweredHolds == 0 && other.answeredAt.Sub(other.claimedAt) >= contestedClaimDelay {
+		if other.phase == owned && other.unansweredHolds == 0 && other.claimSettled() {
 			// No other owner reclaimed this worker in time.
 			return true
 		}
@@ -116,6 +123,12 @@
 	return true
 }
 
+// claimSettled reports whether a competing owner would have reclaimed the worker by
+// its last response.
+func (w *worker) claimSettled() bool {
+	return w.answeredAt.Sub(w.claimedAt) >= contestedClaimDelay
+}
+
 func (s *State) sendHold(now time.Time, w *worker) {
 	wait := idleHoldWait
 	switch {
@@ -129,7 +142,7 @@
 	w.holdPending = true
 	s.emit(Hold{
 		Worker: w.ID, Address: w.Address, Fence: w.fence, LastEnd: w.lastEndIndex,
-		UntilMs: w.leaseExpiry(now, leaseDuration), Wait: w.spread(wait), Sent: now,
+		UntilMs: w.renewLease(now), Wait: w.spread(wait), Sent: now,
 	})
 }
 
@@ -146,7 +159,7 @@
 	w.probedAt = now
 	s.emit(Hold{
 		Worker: w.ID, Address: w.Address, Fence: w.fence, LastEnd: w.lastEndIndex,
-		UntilMs: w.leaseExpiry(now, leaseDuration), Sent: now, Probe: true,
+		UntilMs: w.renewLease(now), Sent: now, Probe: true,
 	})
 }
 
@@ -202,6 +215,8 @@
 	s.log("another owner took a worker", map[string]any{"worker": w.ID, "fence": w.fence, "unanswered": w.unansweredHolds})
 	s.emit(Count{"worker", "fenced"})
 	s.fenceRejected = true
+	// The other owner may move its jobs to this one.
+	s.orphansMatchedBy = now.Add(orphanMatchTimeout)
 	s.awaitRunsOn(now, w)
 	if w.lost {
 		// This entry could not reach the worker. The new owner is on the worker's
--- a/entry/placer/runs.go
+++ b/entry/placer/runs.go
@@ -19,7 +19,7 @@
 	j.started, j.startRequested = true, true
 	s.emit(Start{
 		Worker: w.ID, Address: w.Address, Fence: w.fence, Key: r.key, Spec: j.Spec,
-		UntilMs: w.leaseExpiry(now, leaseDuration),
+		UntilMs: w.renewLease(now),
 	})
 }
 
@@ -34,7 +34,7 @@
 	}
 	switch msg.Result {
 	case StartAccepted:
-		r.state, r.startedAt, r.progressAt = running, now, now
+		r.state, r.startedAt, r.progressAt, r.executed = running, now, now, true
 		return
 	case StartNoAnswer:
 		s.log("start got no answer", map[string]any{"task": r.key.Task, "run": r.key.Number, "worker": w.ID, "ageMs": now.Sub(r.startedAt).Milliseconds()})
@@ -112,38 +112,19 @@
 	s.stopStrayRuns(now, w)
 }
 
-// stopStrayRuns stops runs without a job whose task has another run or is done. A
-// worker that restarted may have executed a late start of a task that runs
-// elsewhere by now.
-func (s *State) stopStrayRuns(now time.Time, w *worker) {
-	var stray []*run
-	for _, r := range w.runs {
-		if r.job != nil || r.state != running {
-			continue
-		}
-		if t := s.findTask(r.key.Task); t != nil && (t.done || t.run != nil) {
-			stray = append(stray, r)
-		}
-	}
-	sortRuns(stray)
-	for _, r := range stray {
-		s.log("stopping a run whose task has another run", map[string]any{"task": r.key.Task, "run": r.key.Number, "worker": w.ID})
-		s.stopRun(now, w, r)
-	}
-}
-
-// findTask returns the task with the given name of a job in progress, or nil.
-func (s *State) findTask(name string) *task {
+// findTask returns the job in progress that has the task with the given name, and
+// the index of the task, or nil.
+func (s *State) findTask(name string) (*job, int) {
 	id, _, _ := strings.Cut(name, ".")
 	j := s.jobs[id]
 	if j == nil {
-		return nil
+		return nil, 0
 	}
 	i, err := strconv.Atoi(name[strings.LastIndexByte(name, '.')+1:])
 	if err != nil || i < 0 || i >= len(j.tasks) || j.taskName(i) != name {
-		return nil
+		return nil, 0
 	}
-	return &j.tasks[i]
+	return j, i
 }
 
 // replacementRun returns a run on w for the same task as r that has not been
@@ -163,10 +144,14 @@
 func (s *State) observeRun(now time.Time, w *worker, row RunningRun) {
 	r := w.runs[row.Key]
 	if r == nil {
-		r = &run{key: row.Key, state: running, unsized: true, startedAt: now, progressAt: now, progressPercent: row.Percent}
+		r = &run{
+			key: row.Key, state: running, unsized: true, startedAt: now, progressAt: now, progressPercent: row.Percent,
+			orphanedAt: s.foundOrphanedAt, executed: true,
+		}
 		w.addRun(r)
 		return
 	}
+	r.executed = true
 	if row.Percent == r.progressPercent {
 		return
 	}
@@ -218,7 +203,10 @@
 
 // stopRun stops a run whose result is no longer needed.
 func (s *State) stopRun(now time.Time, w *worker, r *run) {
-	r.job = nil
+	if r.job != nil {
+		r.job, r.orphanedAt = nil, now
+		w.orphans++
+	}
 	if r.state == stopping {
 		return
 	}
--- a/entry/placer/state.go
+++ b/entry/placer/state.go
@@ -33,6 +33,12 @@
 	needsPlacement bool
 	// responseTime is how long workers currently take to respond.
 	responseTime time.Duration
+	// orphansMatchedBy is the time from which a run found on a worker is stopped if
+	// no job has been matched with it.
+	orphansMatchedBy time.Time
+	// foundOrphanedAt is the earliest time at which a run that is found on a worker may
+	// have lost its job, or zero if it is unknown.
+	foundOrphanedAt time.Time
 	// adoptionDeadline is the time after which no job waits for runs of a
 	// previous owner or on a worker that another owner took over.
 	adoptionDeadline time.Time
@@ -237,7 +243,7 @@
 	}
 	for _, r := range sortedRuns(w) {
 		switch {
-		case r.job == nil && r.state == running && now.Sub(r.startedAt) > adoptionTimeout:
+		case r.job == nil && r.state == running && s.orphanExpired(now, w):
 			s.log("stopping a run without a job", map[string]any{"task": r.key.Task, "run": r.key.Number, "worker": w.ID})
 			s.stopRun(now, w, r)
 		case r.state == stopping || r.state == unconfirmed:
--- a/entry/placer/submit.go
+++ b/entry/placer/submit.go
@@ -134,6 +134,9 @@
 		r.unsized = false
 		w.unsizedRuns--
 	}
+	if r.job == nil {
+		w.orphans--
+	}
 	r.job, r.taskIndex, r.resources, r.expectedRunTime, r.adopted = j, i, j.Resources, s.runTimes.expectedRunTime(j), true
 	t := &j.tasks[i]
 	t.run, t.workerID, t.lastRunNumber = r, w.ID, max(t.lastRunNumber, r.key.Number)
--- a/entry/placer/worker.go
+++ b/entry/placer/worker.go
@@ -71,6 +71,8 @@
 	// unsizedRuns is the number of runs that usedResources lacks.
 	unsizedRuns int
 	runs        map[RunKey]*run
+	// orphans is the number of runs without a job.
+	orphans int
 	// unmatchedEnds holds the ends of runs that this owner has no record of. No
 	// job has been matched with them yet.
 	unmatchedEnds map[RunKey]runEnd
@@ -108,10 +110,11 @@
 	return &worker{Worker: w, runs: map[RunKey]*run{}, unmatchedEnds: map[RunKey]runEnd{}}
 }
 
-// leaseExpiry returns the time d from now on the worker's clock, or 0 before
-// the first response.
-func (w *worker) leaseExpiry(now time.Time, d time.Duration) int64 {
-	if w.clockReadAt.IsZero() {
+// renewLease returns the time on the worker's clock until which a request that is
+// sent now renews the leases, or 0 if it must not renew them.
+func (w *worker) renewLease(now time.Time) int64 {
+	d := w.leaseLimit(now).Sub(now)
+	if w.clockReadAt.IsZero() || d <= 0 {
 		return 0
 	}
 	return w.workerClockMs + now.Sub(w.clockReadAt).Milliseconds() + d.Milliseconds()
@@ -139,7 +142,8 @@
 
 // schedulable reports whether new tasks may be placed on the worker.
 func (w *worker) schedulable(now time.Time) bool {
-	return !w.removed && !w.Draining && !w.runsUnknown && w.reachable(now) && !now.Before(w.placementPausedUntil)
+	return !w.removed && !w.Draining && !w.runsUnknown && w.reachable(now) && !now.Before(w.placementPausedUntil) &&
+		w.leaseLimit(now).Sub(now) >= minStartLease
 }
 
 // resetRuns discards everything known about the worker's runs, because this
@@ -147,7 +151,7 @@
 // or it has not responded for lateStartPeriod.
 func (w *worker) resetRuns() {
 	w.runs, w.unmatchedEnds, w.usedResources = map[RunKey]*run{}, map[RunKey]runEnd{}, Resources{}
-	w.unsizedRuns, w.lastEndIndex, w.runsUnknown = 0, 0, false
+	w.orphans, w.unsizedRuns, w.lastEndIndex, w.runsUnknown = 0, 0, 0, false
 }
 
 func (w *worker) removeRun(r *run) {
@@ -155,6 +159,9 @@
 		return
 	}
 	delete(w.runs, r.key)
+	if r.job == nil {
+		w.orphans--
+	}
 	if r.unsized {
 		w.unsizedRuns--
 	}
@@ -166,6 +173,9 @@
 		w.removeRun(old)
 	}
 	w.runs[r.key] = r
+	if r.job == nil {
+		w.orphans++
+	}
 	if r.unsized {
 		w.unsizedRuns++
 	}
--- a/entry/relayer/relayer.go
+++ b/entry/relayer/relayer.go
@@ -374,7 +374,9 @@
 		go r.ping(cmd.Address)
 	case elector.Claim:
 		r.Log.WithFields(logrus.Fields{"heard": cmd.Heard, "known": cmd.Known, "contested": cmd.Contested}).Info("elector: claiming ownership of the workers")
-		r.handle(now, placer.Claim{WallMs: cmd.WallMs, HighestKnownFence: r.fence.Load(), Contested: cmd.Contested})
+		r.handle(now, placer.Claim{
+			WallMs: cmd.WallMs, HighestKnownFence: r.fence.Load(), Contested: cmd.Contested, PreviousOwnerHeardAt: cmd.PreviousOwnerHeardAt,
+		})
 		r.raiseFence(r.placer.Fence())
 	case elector.Release:
 		r.handle(now, placer.Release{Moved: cmd.Moved, Reason: cmd.Reason})
