placer: a resubmitted job does not start beside its own runs

Callers who sent a job again, after a 502 or a broken connection, could see a task run twice at once although one owner knew both runs (TWICE).

Cause: an owner matched runs with a job only if an entry asked for them after a change of owner. A job that its caller sent again started at once, beside runs that were listed, or whose stops had got no answer.

Change: a run in progress becomes the run of the resubmitted job's task; a task whose run is being stopped starts when that has ended. The same holds for jobs that return to the queue or wait in it when a worker lists the run. Such a job is not refused as one that did not run. A run on a worker that no longer answers counts as ended with its lease.

--- a/entry/placer/doc.go
+++ b/entry/placer/doc.go
@@ -110,6 +110,9 @@
 	// orphanStopAllowance is how long before its loss the previous owner may have lost
 	// a job whose runs it had not stopped yet: two stop requests may get no answer.
 	orphanStopAllowance = 300 * time.Millisecond
+	// maxExpiryDelay is how long after the last request that renewed the leases on a
+	// worker they have expired, with a worker's clock that is 2 percent slow.
+	maxExpiryDelay = 1050 * time.Millisecond
 	// minStartLease is the minimum lease with which a run is started. Leases are
 	// shorter than leaseDuration beside a run without a job.
 	minStartLease = 300 * time.Millisecond
--- a/entry/placer/orphan.go
+++ b/entry/placer/orphan.go
@@ -28,10 +28,46 @@
 	return !now.Before(s.orphansMatchedBy) && (!s.contested || w.claimSettled())
 }
 
-// stopStrayRuns stops runs without a job whose task has another run or is done. A
-// worker that restarted may have executed a late start of a task that runs
-// elsewhere by now.
-func (s *State) stopStrayRuns(now time.Time, w *worker) {
+// adoptOrphans assigns orphans to the tasks of j that would otherwise be started
+// again, and reports whether there are any. A task whose run is being stopped starts
+// again once that run has ended.
+func (s *State) adoptOrphans(now time.Time, j *job) bool {
+	found := false
+	for _, w := range s.sortedWorkers {
+		if w.orphans == 0 {
+			continue
+		}
+		for _, r := range sortedRuns(w) {
+			if owner, i := s.findTask(r.key.Task); owner == j && s.adoptOrphan(now, w, r, j, i) {
+				found = true
+			}
+		}
+	}
+	return found
+}
+
+// adoptOrphan assigns r to task i of j if the task has to be started and r may still
+// be in progress.
+func (s *State) adoptOrphan(now time.Time, w *worker, r *run, j *job, i int) bool {
+	if r.job != nil || !j.isUnstarted(i) || w.orphanGone(now, r) {
+		return false
+	}
+	s.log("job resumes a run that had no job", map[string]any{"task": r.key.Task, "run": r.key.Number, "worker": w.ID, "stopping": r.state != running})
+	j.started, j.startRequested = true, true
+	s.adoptRun(w, r, j, i)
+	return true
+}
+
+// orphanGone reports whether r has certainly ended, or was never executed, on a
+// worker that no longer answers.
+func (w *worker) orphanGone(now time.Time, r *run) bool {
+	return w.lost && (!r.executed || now.Sub(w.renewedAt) >= maxExpiryDelay)
+}
+
+// resolveOrphans finds the jobs in progress to which orphans on w belong. It stops
+// those whose task has another run or is done: a worker that restarted may have
+// executed a late start of a task that runs elsewhere by now.
+func (s *State) resolveOrphans(now time.Time, w *worker) {
 	if w.orphans == 0 {
 		return
 	}
@@ -39,7 +75,11 @@
 		if r.job != nil || r.state != running {
 			continue
 		}
-		if j, i := s.findTask(r.key.Task); j != nil && (j.tasks[i].done || j.tasks[i].run != nil) {
+		j, i := s.findTask(r.key.Task)
+		if j == nil || s.adoptOrphan(now, w, r, j, i) {
+			continue
+		}
+		if t := &j.tasks[i]; t.done || t.run != nil {
 			s.log("stopping a run whose task has another run", map[string]any{"task": r.key.Task, "run": r.key.Number, "worker": w.ID})
 			s.stopRun(now, w, r)
 		}
--- a/entry/placer/orphan_test.go
+++ b/entry/placer/orphan_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/godwitrelay/godwitrelay/core/messenger"
 	"github.com/godwitrelay/godwitrelay/entry/placer"
 	"github.com/godwitrelay/godwitrelay/standin/fleet/executor"
 )
@@ -129,6 +130,56 @@
 	}
 }
 
+// TestResubmissionBesideRunBeingStopped guards against a second run of a task while
+// an earlier one, of the same job, has not been stopped yet.
+func TestResubmissionBesideRunBeingStopped(t *testing.T) {
+	s := newSimulation(1, 8, 1)
+	o := s.owners[0]
+	s.deliver(o, placer.Claim{WallMs: s.now.UnixMilli()})
+	s.run(100 * time.Millisecond)
+	task := executor.Task{CPU: 27000, Duration: time.Second}
+	job := newJob("j0000", 8, 27000, 1000)
+	job.RemainingMs = 10_000
+	j := s.submit(o, job, task)
+	s.run(200 * time.Millisecond)
+	s.faults.lostStops = 1
+	s.deliver(o, placer.EntryLost{Entry: o.name})
+	s.run(100 * time.Millisecond)
+	s.resubmit(o, j)
+	s.run(300 * time.Millisecond)
+	s.checkNoViolations(t)
+	s.faults.lostStops = 0
+	s.run(4 * time.Second)
+	s.checkNoViolations(t)
+	s.checkCompleted(t, j)
+}
+
+// TestResubmissionResumesRuns guards against lost work, and a second run of a task,
+// when a caller resubmits a job before its runs under a lost owner are stopped.
+func TestResubmissionResumesRuns(t *testing.T) {
+	s := newSimulation(1, 8, 2)
+	first, next := s.owners[0], s.owners[1]
+	s.deliver(first, placer.Claim{WallMs: s.now.UnixMilli()})
+	s.run(100 * time.Millisecond)
+	task := executor.Task{CPU: 27000, Duration: time.Second}
+	j := s.submit(first, newJob("j0000", 8, 27000, 1000), task)
+	s.run(200 * time.Millisecond)
+	first.crashed = true
+	s.run(200 * time.Millisecond)
+	s.deliver(next, placer.Claim{WallMs: s.now.UnixMilli()})
+	s.run(100 * time.Millisecond)
+	s.resubmit(next, j)
+	s.run(time.Second)
+	s.checkNoViolations(t)
+	s.checkCompleted(t, j)
+	if s.startedRuns != 8 {
+		t.Errorf("%d runs were started for 8 tasks", s.startedRuns)
+	}
+	if n := len(j.answers); n != 1 || j.answers[0].Err != nil && j.answers[0].Err.Ran == messenger.DidNotRun {
+		t.Errorf("answers %+v, want one", j.answers)
+	}
+}
+
 // TestOrphansUnderRepeatedOwnerChanges guards against runs that are still in progress
 // when their caller may resubmit the job to another worker group, over random series
 // of lost entries, lost owners and planned handovers, with stops that get no answer.
--- a/entry/placer/runs.go
+++ b/entry/placer/runs.go
@@ -109,7 +109,7 @@
 	}
 	w.listedAt = msg.Sent
 	s.adoptAwaitedRuns(now, w, msg.Sent)
-	s.stopStrayRuns(now, w)
+	s.resolveOrphans(now, w)
 }
 
 // findTask returns the job in progress that has the task with the given name, and
--- a/entry/placer/submit.go
+++ b/entry/placer/submit.go
@@ -32,6 +32,10 @@
 		s.finishJob(now, j, Result{Failed: true})
 		return
 	}
+	if s.adoptOrphans(now, j) {
+		s.enqueue(j)
+		return
+	}
 	if err := s.admissionError(now, j); err != nil {
 		s.finishJob(now, j, Result{Err: err})
 		return
@@ -285,6 +289,7 @@
 		}
 	}
 	if s.jobs[j.ID] == j {
+		s.adoptOrphans(now, j)
 		s.enqueue(j)
 	}
 }
--- a/entry/placer/worker.go
+++ b/entry/placer/worker.go
@@ -73,6 +73,8 @@
 	runs        map[RunKey]*run
 	// orphans is the number of runs without a job.
 	orphans int
+	// renewedAt is when the last request that renewed the leases was sent.
+	renewedAt time.Time
 	// unmatchedEnds holds the ends of runs that this owner has no record of. No
 	// job has been matched with them yet.
 	unmatchedEnds map[RunKey]runEnd
@@ -117,6 +119,7 @@
 	if w.clockReadAt.IsZero() || d <= 0 {
 		return 0
 	}
+	w.renewedAt = now
 	return w.workerClockMs + now.Sub(w.clockReadAt).Milliseconds() + d.Milliseconds()
 }
 
