--- a/entry/placer/orphan_test.go
+++ b/entry/placer/orphan_test.go
@@ -50,9 +50,10 @@
 // not keep the runs at work that nobody waits for: their callers may resubmit their
 // jobs to another worker group, whose owner does not know of them.
 func TestOrphansEndBeforeResubmission(t *testing.T) {
-	for _, claimDelay := range []time.Duration{100, 300, 500, 750, 900, 1000} {
+	for _, claimDelayMs := range []int{100, 300, 500, 750, 900, 1000} {
+		claimDelay := time.Duration(claimDelayMs) * time.Millisecond
 		for _, contested := range []bool{false, true} {
-			t.Run(fmt.Sprintf("claim after %d ms, contested %v", claimDelay, contested), func(t *testing.T) {
+			t.Run(fmt.Sprintf("claim after %v, contested %v", claimDelay, contested), func(t *testing.T) {
 				s := newSimulation(1, 8, 2)
 				first, next := s.owners[0], s.owners[1]
 				s.deliver(first, placer.Claim{WallMs: s.now.UnixMilli()})
@@ -61,9 +62,9 @@
 				j := s.submit(first, newJob("j0000", 8, 27000, 3000), task)
 				s.run(200 * time.Millisecond)
 				first.crashed = true
-				s.run(claimDelay * time.Millisecond)
+				s.run(claimDelay)
 				s.deliver(next, placer.Claim{WallMs: s.now.UnixMilli(), Contested: contested})
-				s.run((resubmitDelay - claimDelay*time.Millisecond))
+				s.run(resubmitDelay - claimDelay)
 				if n := s.runsOf(j); n > 0 {
 					t.Errorf("%d runs of the lost owner are still in progress when the caller resubmits the job", n)
 				}
@@ -187,7 +188,7 @@
 	for seed := range int64(historyCount()) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			h := &ownerChanges{simulation: newSimulation(seed, 12, 6), seed: seed}
+			h := &ownerChanges{simulation: newSimulation(seed, 12, 6)}
 			h.play()
 			h.checkNoViolations(t)
 			if t.Failed() {
@@ -203,9 +204,7 @@
 // never ends; their callers keep their connections.
 type ownerChanges struct {
 	*simulation
-	seed       int64
 	generation int
-	heardAt    time.Time
 	changedAt  time.Time
 }
 
