translator: odd records name no worker and no entry

A worker with a port out of range, a capacity of 2^63 - 1 or a start time of that size was accepted, and counted towards the size of the deployment and the capacity that decides whether a job can ever run; an entry with an endless capacity counted as stronger than all others. Reported by operators of similar systems, whose processes ended or stopped following their list.

Cause: records were checked for missing fields only, and entries took over whatever another entry sent.

--- a/entry/elector/member.go
+++ b/entry/elector/member.go
@@ -2,11 +2,17 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
+	// maxMilliCPU and maxLinkKbps limit what an entry says of its VM.
+	maxMilliCPU = 1_000_000_000
+	maxLinkKbps = 1_000_000_000_000
 	// milliCPUPerWorker is the CPU allotment that an owner needs for each worker
 	// at full load, in thousandths of a core, for holds, starts and jobs.
 	milliCPUPerWorker = 2
@@ -40,6 +46,25 @@
 	return capacity
 }
 
+// Validate returns an error if a field of m is missing or out of range. Members from
+// the store must be validated before they are used.
+func (m Member) Validate() error {
+	address, err := netip.ParseAddrPort(m.Address)
+	switch {
+	case m.Name == "":
+		return errors.New("the entry has no name")
+	case err != nil:
+		return errors.Wrap(err, "invalid entry address, want IP:port")
+	case address.Port() == 0:
+		return errors.Newf("invalid entry address %q: the port is 0", m.Address)
+	case m.CPU < 0 || m.CPU > maxMilliCPU:
+		return errors.Newf("the entry's CPU is %d thousandths of a core, want 0 to %d", m.CPU, int64(maxMilliCPU))
+	case m.LinkKbps < 0 || m.LinkKbps > maxLinkKbps:
+		return errors.Newf("the bandwidth of the entry's link is %d kbit/s, want 0 to %d", m.LinkKbps, int64(maxLinkKbps))
+	}
+	return nil
+}
+
 // CompareRank orders entries by preference as owner.
 func CompareRank(a, b Member) int {
 	return cmp.Or(cmp.Compare(b.Capacity(), a.Capacity()), cmp.Compare(a.Address, b.Address))
--- a/entry/placer/worker.go
+++ b/entry/placer/worker.go
@@ -1,7 +1,24 @@
 package placer
 
 import (
+	"net/netip"
 	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxCapacity limits the CPU in thousandths of a core, the memory in MB and the
+	// accelerators of a worker, so that sums over all workers do not overflow.
+	maxCapacity = 1_000_000_000
+	// maxNameBytes limits the names and labels of a worker, and maxLabels their
+	// number, because entries keep them in memory and send them to each other.
+	maxNameBytes = 255
+	maxLabels    = 64
+	// maxStartedAtMs limits the start time of a worker in Unix milliseconds.
+	maxStartedAtMs = 1 << 53
 )
 
 // Resources is what a worker offers or a task requires: CPU in thousandths of a
@@ -44,6 +61,55 @@
 	StartedAtMs int64 `json:"bornMs"`
 }
 
+// Validate returns an error if a field of the worker is missing or out of range.
+// Other programs write to the list of workers too, so every worker from the store
+// or from another entry must be validated before it is used.
+func (w Worker) Validate() error {
+	address, err := netip.ParseAddrPort(w.Address)
+	switch {
+	case err != nil:
+		return errors.Wrap(err, "invalid worker address, want IP:port")
+	case address.Port() == 0:
+		return errors.Newf("invalid worker address %q: the port is 0", w.Address)
+	case w.StartedAtMs < -maxStartedAtMs || w.StartedAtMs > maxStartedAtMs:
+		return errors.Newf("the start time of the worker is %d ms, want at most %d in either direction", w.StartedAtMs, int64(maxStartedAtMs))
+	case len(w.Labels) > maxLabels:
+		return errors.Newf("the worker has %d labels, want at most %d", len(w.Labels), maxLabels)
+	}
+	for _, r := range []struct {
+		name   string
+		amount int64
+	}{{"CPU", w.Resources.CPU}, {"memory", w.Resources.Mem}, {"accelerators", w.Resources.GPU}} {
+		if r.amount < 0 || r.amount > maxCapacity {
+			return errors.Newf("the worker's %s is %d, want 0 to %d", r.name, r.amount, maxCapacity)
+		}
+	}
+	for _, name := range []string{w.ID, w.FailureDomain, w.Service} {
+		if name == "" || !isPrintable(name) {
+			return errors.Newf("invalid worker id, failure domain or service %.40q, want 1 to %d bytes of printable text", name, maxNameBytes)
+		}
+	}
+	for _, label := range w.Labels {
+		if !isPrintable(label) {
+			return errors.Newf("invalid worker label %.40q, want at most %d bytes of printable text", label, maxNameBytes)
+		}
+	}
+	return nil
+}
+
+// isPrintable reports whether s is short text that can be sent in a header.
+func isPrintable(s string) bool {
+	if len(s) > maxNameBytes || !utf8.ValidString(s) {
+		return false
+	}
+	for _, r := range s {
+		if !unicode.IsPrint(r) {
+			return false
+		}
+	}
+	return true
+}
+
 // phase is the ownership state of a worker.
 type phase int
 
--- a/entry/relayer/follow.go
+++ b/entry/relayer/follow.go
@@ -187,7 +187,7 @@
 		}
 		var list []placer.Worker
 		if r.storeProxy != "" && r.fetch(r.storeProxy, "/peer/v1/stored/workers", &list) {
-			return list
+			return r.validWorkers(r.storeProxy, list)
 		}
 		r.storeProxy = ""
 	}
--- a/entry/relayer/peer.go
+++ b/entry/relayer/peer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -132,12 +133,25 @@
 		if !r.fetch(address, path, &u) {
 			return
 		}
+		u.Workers = r.validWorkers(address, u.Workers)
 		if list := have.Apply(u); len(list.Workers) > 0 && r.ownership.Load().address != r.Self.Address {
 			r.applyWorkerList(group, list)
 		}
 	}
 }
 
+// validWorkers returns the valid workers of a list from another entry, which may be
+// of a release that accepted others.
+func (r *Relayer) validWorkers(address string, list []placer.Worker) []placer.Worker {
+	return slices.DeleteFunc(list, func(w placer.Worker) bool {
+		err := w.Validate()
+		if err != nil {
+			r.Log.WithField("entry", address).WithField("worker", w.ID).WithError(err).Warn("relayer: ignoring an invalid worker in the list of another entry")
+		}
+		return err != nil
+	})
+}
+
 func (r *Relayer) fetch(address, path string, out any) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
