placer: a resumed task is not started before all workers have listed their runs

After the loss of an owner, a task could run twice at once (TWICE).

Cause: a job that is resumed without known run numbers adopts the first run of a task that a worker lists. If that run then ends as failed or stopped, the task was started again at once, although the previous owner may have seen that end and have started the task on a worker whose list has not arrived.

Change: such a task waits again, for any run of it, until every worker has listed its runs since the job was resumed. It is then started if none was found.

--- a/entry/placer/job.go
+++ b/entry/placer/job.go
@@ -92,6 +92,10 @@
 	// matches any run of the task.
 	awaitedRun    *RunKey
 	awaitingSince time.Time
+	// resumedAt is when the job was resumed without known runs, or zero. Until every
+	// worker has listed its runs since then, the task may have one that this owner does
+	// not know.
+	resumedAt time.Time
 	// ownerConflict is set if another owner took over the worker of the awaited
 	// run. The run may then have completed although no worker lists it.
 	ownerConflict bool
--- a/entry/placer/runs.go
+++ b/entry/placer/runs.go
@@ -198,6 +198,10 @@
 		s.emit(Count{"retry", string(kind)})
 		s.log("run ended early", map[string]any{"task": r.key.Task, "run": r.key.Number, "worker": w.ID, "how": string(kind), "ranMs": now.Sub(r.startedAt).Milliseconds()})
 	}
+	if !t.resumedAt.IsZero() && !s.allWorkersListed(j, t.resumedAt) {
+		// The previous owner may have seen this end and started the task again.
+		t.awaitedRun, t.awaitingSince = &RunKey{Task: r.key.Task}, t.resumedAt
+	}
 	s.requeue(now, j)
 }
 
--- a/entry/placer/submit.go
+++ b/entry/placer/submit.go
@@ -62,6 +62,9 @@
 			continue
 		}
 		t.awaitedRun, t.awaitingSince = &RunKey{j.taskName(p.Task), p.Number}, now
+		if p.Number == 0 {
+			t.resumedAt = now
+		}
 	}
 	s.log("resuming a job of a previous owner", map[string]any{"job": j.ID, "left": j.remainingTasks})
 	if j.remainingTasks == 0 {
@@ -192,6 +195,10 @@
 		t := &j.tasks[i]
 		switch {
 		case t.awaitedRun == nil:
+		case t.awaitedRun.Number == 0 && t.lastRunNumber > 0 && s.allWorkersListed(j, t.awaitingSince):
+			// The run that was found has ended, and there is no other.
+			t.awaitedRun = nil
+			s.requeue(now, j)
 		case t.awaitedRun.Number == 0 && s.allWorkersListed(j, t.awaitingSince):
 			s.failJob(now, j, messenger.TargetLost, "not all runs of the job are known after the loss of their owner")
 			return
--- a/entry/placer/takeover_test.go
+++ b/entry/placer/takeover_test.go
@@ -182,3 +182,55 @@
 		s.checkNoViolations(t)
 	}
 }
+
+// TestResumedTaskAwaitsAllWorkers guards against a second run of a task beside one
+// that the previous owner started on another worker: the run that is found first has
+// ended, and the other worker has not listed its runs yet.
+func TestResumedTaskAwaitsAllWorkers(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	s := placer.New(1)
+	var starts []placer.Start
+	var fence int64
+	completed := false
+	deliver := func(msg placer.Msg) {
+		t.Helper()
+		for _, cmd := range s.Update(now, msg) {
+			switch cmd := cmd.(type) {
+			case placer.Hold:
+				fence = cmd.Fence
+			case placer.Start:
+				starts = append(starts, cmd)
+			case placer.Answer:
+				completed = cmd.Result.Completed
+			}
+		}
+	}
+	list := func(worker string, running []placer.RunningRun, ended ...placer.EndedRun) {
+		t.Helper()
+		deliver(placer.HoldResponse{
+			Worker: worker, Fence: fence, Result: placer.HoldAnswered, ClockMs: 1000, StartedAtMs: 5, Running: running, Ended: ended, Sent: now,
+		})
+	}
+	run := func(n int64) placer.RunKey { return placer.RunKey{Task: "j0000.0.0.0", Number: n} }
+	worker := placer.Worker{ID: "w0", Address: "w0", Service: simulatedService, Resources: placer.Resources{CPU: 64000, Mem: 1 << 20}, StartedAtMs: 5}
+	other := worker
+	other.ID, other.Address = "w1", "w1"
+	deliver(placer.WorkersListed{Workers: []placer.Worker{worker, other}})
+	deliver(placer.Claim{WallMs: now.UnixMilli()})
+	list("w0", []placer.RunningRun{{Key: run(1)}})
+	list("w1", nil)
+	now = now.Add(100 * time.Millisecond)
+	deliver(placer.Submit{Waiter: 1, Entry: "e0", Job: newJob("j0000", 1, 27000, 300), Placements: placer.UnknownPlacements(1, nil)})
+	now = now.Add(10 * time.Millisecond)
+	list("w0", nil, placer.EndedRun{Index: 1, Key: run(1), Kind: placer.EndFailed})
+	if len(starts) > 0 {
+		t.Fatalf("%+v was sent before w1 had listed its runs", starts[0])
+	}
+	list("w1", []placer.RunningRun{{Key: run(2)}})
+	now = now.Add(10 * time.Millisecond)
+	deliver(placer.Tick{})
+	list("w1", nil, placer.EndedRun{Index: 1, Key: run(2), Kind: placer.EndDone})
+	if len(starts) > 0 || !completed {
+		t.Errorf("starts %+v, completed %v, want a completed job without a start", starts, completed)
+	}
+}
