placer: claims renew no lease, and orphans end once a contested claim is settled

Change: only an owned worker's leases are renewed. In a contested takeover, orphans are stopped on all workers of a failure domain once one of them has stayed for 0.55 s.

--- a/entry/placer/orphan.go
+++ b/entry/placer/orphan.go
@@ -1,6 +1,9 @@
 package placer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // leaseLimit returns the time until which the leases on w may be renewed now. A
 // lease applies to all runs on a worker, so it is limited by the first of them that
@@ -23,9 +26,14 @@
 
 // orphanExpired reports whether the runs found on w are stopped if no job has been
 // matched with them. While ownership is contested, they may have jobs at a competing
-// owner.
+// owner, unless that one has left another worker of the failure domain to this owner.
 func (s *State) orphanExpired(now time.Time, w *worker) bool {
-	return !now.Before(s.orphansMatchedBy) && (!s.contested || w.claimSettled())
+	if now.Before(s.orphansMatchedBy) {
+		return false
+	}
+	return !s.contested || slices.ContainsFunc(s.sortedWorkers, func(other *worker) bool {
+		return other.FailureDomain == w.FailureDomain && other.phase == owned && other.claimSettled()
+	})
 }
 
 // adoptOrphans assigns orphans to the tasks of j that would otherwise be started
--- a/entry/placer/worker.go
+++ b/entry/placer/worker.go
@@ -182,7 +182,8 @@
 // sent now renews the leases, or 0 if it must not renew them.
 func (w *worker) renewLease(now time.Time) int64 {
 	d := w.leaseLimit(now).Sub(now)
-	if w.clockReadAt.IsZero() || d <= 0 {
+	if w.phase != owned || w.clockReadAt.IsZero() || d <= 0 {
+		// A claimed worker has not listed its runs yet.
 		return 0
 	}
 	w.renewedAt = now
