--- a/entry/placer/orphan_test.go
+++ b/entry/placer/orphan_test.go
@@ -301,3 +301,38 @@
 	}
 	return at
 }
+
+// TestClaimRenewsNoLease guards against an owner that keeps runs at work that it does
+// not know yet, because it claims a worker whose clock it knows from before.
+func TestClaimRenewsNoLease(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	s := placer.New(1)
+	var hold placer.Hold
+	deliver := func(msg placer.Msg) {
+		for _, cmd := range s.Update(now, msg) {
+			if h, ok := cmd.(placer.Hold); ok {
+				hold = h
+			}
+		}
+	}
+	answer := func(result placer.HoldResult) {
+		deliver(placer.HoldResponse{Worker: "w0", Fence: hold.Fence, Result: result, ClockMs: 1000, StartedAtMs: 5, Sent: now})
+	}
+	deliver(placer.WorkersListed{Workers: []placer.Worker{{ID: "w0", Address: "w0", Service: simulatedService, Resources: placer.Resources{CPU: 64000, Mem: 1 << 20}, StartedAtMs: 5}}})
+	deliver(placer.Claim{WallMs: now.UnixMilli()})
+	answer(placer.HoldAnswered)
+	if hold.UntilMs == 0 {
+		t.Error("an owned worker's leases are not renewed")
+	}
+	answer(placer.HoldFenced)
+	now = now.Add(50 * time.Millisecond)
+	hold = placer.Hold{}
+	deliver(placer.Claim{WallMs: now.UnixMilli()})
+	if hold.Worker != "w0" || hold.UntilMs != 0 {
+		t.Errorf("the claim is %+v, want one that renews no lease", hold)
+	}
+	answer(placer.HoldAnswered)
+	if hold.UntilMs == 0 {
+		t.Error("the leases are not renewed once the worker has listed its runs")
+	}
+}
