placer: a failed run is not counted again after a planned handover

Cause: a planned handover passes the last run number and the failures of each task. If that run had failed and the task waited for a worker, the next owner waited for the same run; its worker still listed the end, which the previous owner had not acknowledged yet, and the failure was counted a second time.

Change: a placement says whether the run has ended.

--- a/entry/placer/job.go
+++ b/entry/placer/job.go
@@ -139,7 +139,10 @@
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.done || t.lastRunNumber > 0 || t.awaitedRun != nil {
-			list = append(list, Placement{Task: i, Worker: t.workerID, Number: t.lastRunNumber, Done: t.done, Failures: t.failures, HungRuns: t.hungRuns})
+			list = append(list, Placement{
+				Task: i, Worker: t.workerID, Number: t.lastRunNumber, Done: t.done, Ended: t.run == nil && t.awaitedRun == nil,
+				Failures: t.failures, HungRuns: t.hungRuns,
+			})
 		}
 	}
 	return list
--- a/entry/placer/message.go
+++ b/entry/placer/message.go
@@ -249,6 +249,9 @@
 	Worker string `json:"worker"`
 	Number int64  `json:"number"`
 	Done   bool   `json:"done,omitempty"`
+	// Ended is set if the run is over and counted in Failures if it failed. The task
+	// has to be started again.
+	Ended bool `json:"ended,omitempty"`
 	// Failures and HungRuns count the runs that failed or made no progress.
 	Failures int `json:"failures,omitempty"`
 	HungRuns int `json:"hungRuns,omitempty"`
--- a/entry/placer/takeover_test.go
+++ b/entry/placer/takeover_test.go
@@ -234,3 +234,62 @@
 		t.Errorf("starts %+v, completed %v, want a completed job without a start", starts, completed)
 	}
 }
+
+// TestMovedFailureCountsOnce guards against a failed job of a task that failed less
+// often than MaxAttempts: the previous owner had counted a failed run before it handed
+// the workers over, and its worker still lists the end.
+func TestMovedFailureCountsOnce(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	run := placer.RunKey{Task: "j0000.0.0.0", Number: 1}
+	ended := placer.EndedRun{Index: 1, Key: run, Kind: placer.EndFailed}
+	worker := placer.Worker{ID: "w0", Address: "w0", Service: simulatedService, Resources: placer.Resources{CPU: 64000, Mem: 1 << 20}, StartedAtMs: 5}
+	job := newJob("j0000", 1, 27000, 300)
+	job.MaxAttempts = 2
+	var starts []placer.Start
+	var answers []placer.Result
+	var fence int64
+	deliver := func(s *placer.State, msg placer.Msg) {
+		t.Helper()
+		for _, cmd := range s.Update(now, msg) {
+			switch cmd := cmd.(type) {
+			case placer.Hold:
+				fence = cmd.Fence
+			case placer.Start:
+				starts = append(starts, cmd)
+			case placer.Answer:
+				answers = append(answers, cmd.Result)
+			}
+		}
+	}
+	list := func(s *placer.State, ended ...placer.EndedRun) {
+		t.Helper()
+		deliver(s, placer.HoldResponse{Worker: "w0", Fence: fence, Result: placer.HoldAnswered, ClockMs: 1000, StartedAtMs: 5, Ended: ended, Sent: now})
+	}
+	first, next := placer.New(1), placer.New(2)
+	for _, s := range []*placer.State{first, next} {
+		deliver(s, placer.WorkersListed{Workers: []placer.Worker{worker}})
+	}
+	deliver(first, placer.Claim{WallMs: now.UnixMilli()})
+	list(first)
+	deliver(first, placer.Submit{Waiter: 1, Entry: "e0", Job: job})
+	deliver(first, placer.StartResponse{Worker: "w0", Fence: fence, Key: run, Result: placer.StartAccepted, ClockMs: 1000})
+	// The worker drains, so that the task is not started again at once.
+	draining := worker
+	draining.Draining = true
+	deliver(first, placer.WorkersListed{Workers: []placer.Worker{draining}})
+	now = now.Add(300 * time.Millisecond)
+	list(first, ended)
+	deliver(first, placer.Release{Moved: true, Reason: "planned"})
+	if len(answers) != 1 || len(answers[0].Placements) != 1 {
+		t.Fatalf("answers %+v, want a moved job with one placement", answers)
+	}
+	deliver(next, placer.Claim{WallMs: now.UnixMilli(), HighestKnownFence: fence})
+	list(next, ended)
+	deliver(next, placer.Submit{Waiter: 2, Entry: "e0", Job: job, Placements: answers[0].Placements})
+	if len(answers) != 1 {
+		t.Errorf("the job was answered with %+v after one failed run", answers[1])
+	}
+	if n := len(starts); n != 2 || starts[n-1].Key.Number != 2 {
+		t.Errorf("starts %+v, want a second run", starts)
+	}
+}
