--- a/entry/placer/orphan_test.go
+++ b/entry/placer/orphan_test.go
@@ -45,6 +45,19 @@
 	}
 }
 
+// loseOwner returns a simulation in which the first of two owners was lost with a job
+// of 8 tasks in progress, the other owner and the job.
+func loseOwner(runTime time.Duration) (*simulation, *owner, *submittedJob) {
+	s := newSimulation(1, 8, 2)
+	first := s.owners[0]
+	s.deliver(first, placer.Claim{WallMs: s.now.UnixMilli()})
+	s.run(100 * time.Millisecond)
+	j := s.submit(first, newJob("j0000", 8, 27000, runTime.Milliseconds()), executor.Task{CPU: 27000, Duration: runTime})
+	s.run(200 * time.Millisecond)
+	first.crashed = true
+	return s, s.owners[1], j
+}
+
 // TestOrphansEndBeforeResubmission guards against a second run of a task beside one
 // of a lost owner. The next owner claims late, after all entries were lost, and must
 // not keep the runs at work that nobody waits for: their callers may resubmit their
@@ -54,14 +67,7 @@
 		claimDelay := time.Duration(claimDelayMs) * time.Millisecond
 		for _, contested := range []bool{false, true} {
 			t.Run(fmt.Sprintf("claim after %v, contested %v", claimDelay, contested), func(t *testing.T) {
-				s := newSimulation(1, 8, 2)
-				first, next := s.owners[0], s.owners[1]
-				s.deliver(first, placer.Claim{WallMs: s.now.UnixMilli()})
-				s.run(100 * time.Millisecond)
-				task := executor.Task{CPU: 27000, Duration: 3 * time.Second}
-				j := s.submit(first, newJob("j0000", 8, 27000, 3000), task)
-				s.run(200 * time.Millisecond)
-				first.crashed = true
+				s, next, j := loseOwner(3 * time.Second)
 				s.run(claimDelay)
 				s.deliver(next, placer.Claim{WallMs: s.now.UnixMilli(), Contested: contested})
 				s.run(resubmitDelay - claimDelay)
@@ -107,15 +113,8 @@
 // go on because the start of another task renews the leases on their worker. The
 // previous owner was last heard at a known time, so that tasks can start beside them.
 func TestOrphansAreNotRenewedByStarts(t *testing.T) {
-	s := newSimulation(1, 8, 2)
-	first, next := s.owners[0], s.owners[1]
-	s.deliver(first, placer.Claim{WallMs: s.now.UnixMilli()})
-	s.run(100 * time.Millisecond)
-	task := executor.Task{CPU: 27000, Duration: 3 * time.Second}
-	j := s.submit(first, newJob("j0000", 8, 27000, 3000), task)
-	s.run(200 * time.Millisecond)
+	s, next, j := loseOwner(3 * time.Second)
 	heardAt := s.now
-	first.crashed = true
 	s.run(300 * time.Millisecond)
 	// The stops get no answer, so that only the leases end the runs.
 	s.faults.lostStops = 1
@@ -158,14 +157,7 @@
 // TestResubmissionResumesRuns guards against lost work, and a second run of a task,
 // when a caller resubmits a job before its runs under a lost owner are stopped.
 func TestResubmissionResumesRuns(t *testing.T) {
-	s := newSimulation(1, 8, 2)
-	first, next := s.owners[0], s.owners[1]
-	s.deliver(first, placer.Claim{WallMs: s.now.UnixMilli()})
-	s.run(100 * time.Millisecond)
-	task := executor.Task{CPU: 27000, Duration: time.Second}
-	j := s.submit(first, newJob("j0000", 8, 27000, 1000), task)
-	s.run(200 * time.Millisecond)
-	first.crashed = true
+	s, next, j := loseOwner(time.Second)
 	s.run(200 * time.Millisecond)
 	s.deliver(next, placer.Claim{WallMs: s.now.UnixMilli()})
 	s.run(100 * time.Millisecond)
@@ -305,34 +297,21 @@
 // TestClaimRenewsNoLease guards against an owner that keeps runs at work that it does
 // not know yet, because it claims a worker whose clock it knows from before.
 func TestClaimRenewsNoLease(t *testing.T) {
-	now := time.UnixMilli(1_700_000_000_000)
-	s := placer.New(1)
-	var hold placer.Hold
-	deliver := func(msg placer.Msg) {
-		for _, cmd := range s.Update(now, msg) {
-			if h, ok := cmd.(placer.Hold); ok {
-				hold = h
-			}
-		}
-	}
-	answer := func(result placer.HoldResult) {
-		deliver(placer.HoldResponse{Worker: "w0", Fence: hold.Fence, Result: result, ClockMs: 1000, StartedAtMs: 5, Sent: now})
-	}
-	deliver(placer.WorkersListed{Workers: []placer.Worker{{ID: "w0", Address: "w0", Service: simulatedService, Resources: placer.Resources{CPU: 64000, Mem: 1 << 20}, StartedAtMs: 5}}})
-	deliver(placer.Claim{WallMs: now.UnixMilli()})
-	answer(placer.HoldAnswered)
-	if hold.UntilMs == 0 {
+	o := newRecordedOwner(1, "w0")
+	o.deliver(placer.Claim{WallMs: o.now.UnixMilli()})
+	o.list("w0", nil)
+	if o.hold.UntilMs == 0 {
 		t.Error("an owned worker's leases are not renewed")
 	}
-	answer(placer.HoldFenced)
-	now = now.Add(50 * time.Millisecond)
-	hold = placer.Hold{}
-	deliver(placer.Claim{WallMs: now.UnixMilli()})
-	if hold.Worker != "w0" || hold.UntilMs != 0 {
-		t.Errorf("the claim is %+v, want one that renews no lease", hold)
+	o.deliver(placer.HoldResponse{Worker: "w0", Fence: o.hold.Fence, Result: placer.HoldFenced, Sent: o.now})
+	o.now = o.now.Add(50 * time.Millisecond)
+	o.hold = placer.Hold{}
+	o.deliver(placer.Claim{WallMs: o.now.UnixMilli()})
+	if o.hold.Worker != "w0" || o.hold.UntilMs != 0 {
+		t.Errorf("the claim is %+v, want one that renews no lease", o.hold)
 	}
-	answer(placer.HoldAnswered)
-	if hold.UntilMs == 0 {
+	o.list("w0", nil)
+	if o.hold.UntilMs == 0 {
 		t.Error("the leases are not renewed once the worker has listed its runs")
 	}
 }
--- a/entry/placer/takeover_test.go
+++ b/entry/placer/takeover_test.go
@@ -183,55 +183,70 @@
 	}
 }
 
+// recordedOwner is an owner whose messages from workers are written out in a test.
+type recordedOwner struct {
+	state   *placer.State
+	now     time.Time
+	workers []placer.Worker
+	// hold is the last hold that was sent.
+	hold    placer.Hold
+	starts  []placer.Start
+	answers []placer.Result
+}
+
+func newRecordedOwner(suffix uint64, workers ...string) *recordedOwner {
+	o := &recordedOwner{state: placer.New(suffix), now: time.UnixMilli(1_700_000_000_000)}
+	for _, id := range workers {
+		o.workers = append(o.workers, placer.Worker{
+			ID: id, Address: id, Service: simulatedService, Resources: placer.Resources{CPU: 64000, Mem: 1 << 20}, StartedAtMs: 5,
+		})
+	}
+	o.deliver(placer.WorkersListed{Workers: o.workers})
+	return o
+}
+
+func (o *recordedOwner) deliver(msg placer.Msg) {
+	for _, cmd := range o.state.Update(o.now, msg) {
+		switch cmd := cmd.(type) {
+		case placer.Hold:
+			o.hold = cmd
+		case placer.Start:
+			o.starts = append(o.starts, cmd)
+		case placer.Answer:
+			o.answers = append(o.answers, cmd.Result)
+		}
+	}
+}
+
+// list delivers the lists of a worker.
+func (o *recordedOwner) list(worker string, running []placer.RunningRun, ended ...placer.EndedRun) {
+	o.deliver(placer.HoldResponse{
+		Worker: worker, Fence: o.hold.Fence, Result: placer.HoldAnswered, ClockMs: 1000, StartedAtMs: 5, Running: running, Ended: ended, Sent: o.now,
+	})
+}
+
 // TestResumedTaskAwaitsAllWorkers guards against a second run of a task beside one
 // that the previous owner started on another worker: the run that is found first has
 // ended, and the other worker has not listed its runs yet.
 func TestResumedTaskAwaitsAllWorkers(t *testing.T) {
-	now := time.UnixMilli(1_700_000_000_000)
-	s := placer.New(1)
-	var starts []placer.Start
-	var fence int64
-	completed := false
-	deliver := func(msg placer.Msg) {
-		t.Helper()
-		for _, cmd := range s.Update(now, msg) {
-			switch cmd := cmd.(type) {
-			case placer.Hold:
-				fence = cmd.Fence
-			case placer.Start:
-				starts = append(starts, cmd)
-			case placer.Answer:
-				completed = cmd.Result.Completed
-			}
-		}
-	}
-	list := func(worker string, running []placer.RunningRun, ended ...placer.EndedRun) {
-		t.Helper()
-		deliver(placer.HoldResponse{
-			Worker: worker, Fence: fence, Result: placer.HoldAnswered, ClockMs: 1000, StartedAtMs: 5, Running: running, Ended: ended, Sent: now,
-		})
-	}
 	run := func(n int64) placer.RunKey { return placer.RunKey{Task: "j0000.0.0.0", Number: n} }
-	worker := placer.Worker{ID: "w0", Address: "w0", Service: simulatedService, Resources: placer.Resources{CPU: 64000, Mem: 1 << 20}, StartedAtMs: 5}
-	other := worker
-	other.ID, other.Address = "w1", "w1"
-	deliver(placer.WorkersListed{Workers: []placer.Worker{worker, other}})
-	deliver(placer.Claim{WallMs: now.UnixMilli()})
-	list("w0", []placer.RunningRun{{Key: run(1)}})
-	list("w1", nil)
-	now = now.Add(100 * time.Millisecond)
-	deliver(placer.Submit{Waiter: 1, Entry: "e0", Job: newJob("j0000", 1, 27000, 300), Placements: placer.UnknownPlacements(1, nil)})
-	now = now.Add(10 * time.Millisecond)
-	list("w0", nil, placer.EndedRun{Index: 1, Key: run(1), Kind: placer.EndFailed})
-	if len(starts) > 0 {
-		t.Fatalf("%+v was sent before w1 had listed its runs", starts[0])
+	o := newRecordedOwner(1, "w0", "w1")
+	o.deliver(placer.Claim{WallMs: o.now.UnixMilli()})
+	o.list("w0", []placer.RunningRun{{Key: run(1)}})
+	o.list("w1", nil)
+	o.now = o.now.Add(100 * time.Millisecond)
+	o.deliver(placer.Submit{Waiter: 1, Entry: "e0", Job: newJob("j0000", 1, 27000, 300), Placements: placer.UnknownPlacements(1, nil)})
+	o.now = o.now.Add(10 * time.Millisecond)
+	o.list("w0", nil, placer.EndedRun{Index: 1, Key: run(1), Kind: placer.EndFailed})
+	if len(o.starts) > 0 {
+		t.Fatalf("%+v was sent before w1 had listed its runs", o.starts[0])
 	}
-	list("w1", []placer.RunningRun{{Key: run(2)}})
-	now = now.Add(10 * time.Millisecond)
-	deliver(placer.Tick{})
-	list("w1", nil, placer.EndedRun{Index: 1, Key: run(2), Kind: placer.EndDone})
-	if len(starts) > 0 || !completed {
-		t.Errorf("starts %+v, completed %v, want a completed job without a start", starts, completed)
+	o.list("w1", []placer.RunningRun{{Key: run(2)}})
+	o.now = o.now.Add(10 * time.Millisecond)
+	o.deliver(placer.Tick{})
+	o.list("w1", nil, placer.EndedRun{Index: 1, Key: run(2), Kind: placer.EndDone})
+	if len(o.starts) > 0 || len(o.answers) != 1 || !o.answers[0].Completed {
+		t.Errorf("starts %+v, answers %+v, want a completed job without a start", o.starts, o.answers)
 	}
 }
 
@@ -239,57 +254,33 @@
 // often than MaxAttempts: the previous owner had counted a failed run before it handed
 // the workers over, and its worker still lists the end.
 func TestMovedFailureCountsOnce(t *testing.T) {
-	now := time.UnixMilli(1_700_000_000_000)
 	run := placer.RunKey{Task: "j0000.0.0.0", Number: 1}
 	ended := placer.EndedRun{Index: 1, Key: run, Kind: placer.EndFailed}
-	worker := placer.Worker{ID: "w0", Address: "w0", Service: simulatedService, Resources: placer.Resources{CPU: 64000, Mem: 1 << 20}, StartedAtMs: 5}
 	job := newJob("j0000", 1, 27000, 300)
 	job.MaxAttempts = 2
-	var starts []placer.Start
-	var answers []placer.Result
-	var fence int64
-	deliver := func(s *placer.State, msg placer.Msg) {
-		t.Helper()
-		for _, cmd := range s.Update(now, msg) {
-			switch cmd := cmd.(type) {
-			case placer.Hold:
-				fence = cmd.Fence
-			case placer.Start:
-				starts = append(starts, cmd)
-			case placer.Answer:
-				answers = append(answers, cmd.Result)
-			}
-		}
-	}
-	list := func(s *placer.State, ended ...placer.EndedRun) {
-		t.Helper()
-		deliver(s, placer.HoldResponse{Worker: "w0", Fence: fence, Result: placer.HoldAnswered, ClockMs: 1000, StartedAtMs: 5, Ended: ended, Sent: now})
-	}
-	first, next := placer.New(1), placer.New(2)
-	for _, s := range []*placer.State{first, next} {
-		deliver(s, placer.WorkersListed{Workers: []placer.Worker{worker}})
-	}
-	deliver(first, placer.Claim{WallMs: now.UnixMilli()})
-	list(first)
-	deliver(first, placer.Submit{Waiter: 1, Entry: "e0", Job: job})
-	deliver(first, placer.StartResponse{Worker: "w0", Fence: fence, Key: run, Result: placer.StartAccepted, ClockMs: 1000})
+	first, next := newRecordedOwner(1, "w0"), newRecordedOwner(2, "w0")
+	first.deliver(placer.Claim{WallMs: first.now.UnixMilli()})
+	first.list("w0", nil)
+	first.deliver(placer.Submit{Waiter: 1, Entry: "e0", Job: job})
+	first.deliver(placer.StartResponse{Worker: "w0", Fence: first.hold.Fence, Key: run, Result: placer.StartAccepted, ClockMs: 1000})
 	// The worker drains, so that the task is not started again at once.
-	draining := worker
+	draining := first.workers[0]
 	draining.Draining = true
-	deliver(first, placer.WorkersListed{Workers: []placer.Worker{draining}})
-	now = now.Add(300 * time.Millisecond)
-	list(first, ended)
-	deliver(first, placer.Release{Moved: true, Reason: "planned"})
-	if len(answers) != 1 || len(answers[0].Placements) != 1 {
-		t.Fatalf("answers %+v, want a moved job with one placement", answers)
+	first.deliver(placer.WorkersListed{Workers: []placer.Worker{draining}})
+	first.now = first.now.Add(300 * time.Millisecond)
+	first.list("w0", nil, ended)
+	first.deliver(placer.Release{Moved: true, Reason: "planned"})
+	if len(first.answers) != 1 || len(first.answers[0].Placements) != 1 {
+		t.Fatalf("answers %+v, want a moved job with one placement", first.answers)
 	}
-	deliver(next, placer.Claim{WallMs: now.UnixMilli(), HighestKnownFence: fence})
-	list(next, ended)
-	deliver(next, placer.Submit{Waiter: 2, Entry: "e0", Job: job, Placements: answers[0].Placements})
-	if len(answers) != 1 {
-		t.Errorf("the job was answered with %+v after one failed run", answers[1])
+	next.now = first.now
+	next.deliver(placer.Claim{WallMs: next.now.UnixMilli(), HighestKnownFence: first.hold.Fence})
+	next.list("w0", nil, ended)
+	next.deliver(placer.Submit{Waiter: 2, Entry: "e0", Job: job, Placements: first.answers[0].Placements})
+	if len(next.answers) > 0 {
+		t.Errorf("the job was answered with %+v after one failed run", next.answers[0])
 	}
-	if n := len(starts); n != 2 || starts[n-1].Key.Number != 2 {
-		t.Errorf("starts %+v, want a second run", starts)
+	if n := len(next.starts); n != 1 || next.starts[0].Key.Number != 2 {
+		t.Errorf("starts %+v, want a second run", next.starts)
 	}
 }
