placer: a resubmitted job does not wait for runs of a lost worker

Cause: holds to a lost worker went on to renew its leases after the jobs there had been answered, so that a resubmitted job took their runs for ones in progress.

Change: the leases on a lost worker are not renewed once none of its runs has a job. They have then ended when the callers return.

--- a/entry/placer/orphan_test.go
+++ b/entry/placer/orphan_test.go
@@ -294,6 +294,41 @@
 	return at
 }
 
+// TestResubmissionAfterWorkerLoss guards against a job that is answered with an error
+// again, although its caller resubmitted it after the runs on the lost worker had ended.
+func TestResubmissionAfterWorkerLoss(t *testing.T) {
+	for name, lose := range map[string]func(*machine, *owner){
+		"refuses connections": func(m *machine, _ *owner) { m.refuses = true; m.Restart(m.StartedAt) },
+		"unreachable":         func(m *machine, o *owner) { m.unreachableFrom[o] = true },
+		"mute":                func(m *machine, _ *owner) { m.mute = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(1, 4, 1)
+			o := s.owners[0]
+			s.deliver(o, placer.Claim{WallMs: s.now.UnixMilli()})
+			s.run(100 * time.Millisecond)
+			job := newJob("j0000", 1, 27000, 900)
+			job.RemainingMs = 10_000
+			j := s.submit(o, job, executor.Task{CPU: 27000, Duration: 5 * time.Second})
+			s.run(200 * time.Millisecond)
+			for _, m := range s.machines {
+				if len(m.Runs(s.now)) > 0 {
+					lose(m, o)
+				}
+			}
+			s.run(2500 * time.Millisecond)
+			if len(j.answers) != 1 || j.answers[0].Err == nil {
+				t.Fatalf("answers %+v, want an error", j.answers)
+			}
+			s.run(j.answeredAt.Add(resubmitDelay).Sub(s.now))
+			s.resubmit(o, j)
+			s.run(6 * time.Second)
+			s.checkNoViolations(t)
+			s.checkCompleted(t, j)
+		})
+	}
+}
+
 // TestClaimRenewsNoLease guards against an owner that keeps runs at work that it does
 // not know yet, because it claims a worker whose clock it knows from before.
 func TestClaimRenewsNoLease(t *testing.T) {
--- a/entry/placer/worker.go
+++ b/entry/placer/worker.go
@@ -182,8 +182,11 @@
 // sent now renews the leases, or 0 if it must not renew them.
 func (w *worker) renewLease(now time.Time) int64 {
 	d := w.leaseLimit(now).Sub(now)
-	if w.phase != owned || w.clockReadAt.IsZero() || d <= 0 {
-		// A claimed worker has not listed its runs yet.
+	// A claimed worker has not listed its runs yet.
+	known := w.phase == owned && !w.clockReadAt.IsZero()
+	// The jobs of a lost worker are answered, and their callers may resubmit them.
+	needed := !w.lost || w.orphans < len(w.runs)
+	if !known || !needed || d <= 0 {
 		return 0
 	}
 	w.renewedAt = now
