placer: the log of a run that is stopped beside another one says which

The line "stopping a run whose task has another run" did not tell two runs at once from a run that a list showed after its end. It now says whether the task is done, the other run, its worker and age, and the age of the list.

--- a/entry/placer/orphan.go
+++ b/entry/placer/orphan.go
@@ -88,7 +88,11 @@
 			continue
 		}
 		if t := &j.tasks[i]; t.done || t.run != nil {
-			s.log("stopping a run whose task has another run", map[string]any{"task": r.key.Task, "run": r.key.Number, "worker": w.ID})
+			fields := map[string]any{"task": r.key.Task, "run": r.key.Number, "worker": w.ID, "done": t.done, "listAgeMs": now.Sub(w.listedAt).Milliseconds()}
+			if t.run != nil {
+				fields["otherRun"], fields["otherWorker"], fields["otherAgeMs"] = t.run.key.Number, t.workerID, now.Sub(t.run.startedAt).Milliseconds()
+			}
+			s.log("stopping a run whose task has another run", fields)
 			s.stopRun(now, w, r)
 		}
 	}
