placer: a task does not run while a worker that may have restarted can still start it

What callers saw: a task ran twice at the same time. A start without an answer was stopped, its worker confirmed that, and the task ran elsewhere.

Cause: a confirmed stop and a fence were taken to last, though they are the memory of one process. Nothing recorded that a start could still be executed once its run counted as stopped.

A start request now counts as open until it is answered or its run is listed, for 15 s. While its worker is lost, refuses connections, has restarted and not listed its runs, or belongs to another owner, its task is not started, also not for a job that was resubmitted, and a run of the task on another worker is stopped. The worker's first list under a higher fence settles it: a late run becomes the task's run. A planned handover passes the open starts on.

--- a/entry/placer/job.go
+++ b/entry/placer/job.go
@@ -133,15 +133,16 @@
 // job, ".0.0." and the index of the task.
 func (j *job) taskName(i int) string { return j.ID + ".0.0." + strconv.Itoa(i) }
 
-// placements returns the last start of each task, for the next owner.
-func (j *job) placements() []Placement {
+// placements returns the last start of each task, and its starts without an answer, for
+// the next owner.
+func (s *State) placements(now time.Time, j *job) []Placement {
 	var list []Placement
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.done || t.lastRunNumber > 0 || t.awaitedRun != nil {
 			list = append(list, Placement{
 				Task: i, Worker: t.workerID, Number: t.lastRunNumber, Done: t.done, Ended: t.run == nil && t.awaitedRun == nil,
-				Failures: t.failures, HungRuns: t.hungRuns,
+				Failures: t.failures, HungRuns: t.hungRuns, LateStarts: s.lateStarts.of(now, j.ID, i),
 			})
 		}
 	}
--- a/entry/placer/message.go
+++ b/entry/placer/message.go
@@ -255,10 +255,21 @@
 	// Failures and HungRuns count the runs that failed or made no progress.
 	Failures int `json:"failures,omitempty"`
 	HungRuns int `json:"hungRuns,omitempty"`
+	// LateStarts are the starts of the task that got no answer.
+	LateStarts []LateStart `json:"lateStarts,omitempty"`
+}
+
+// LateStart is a start request that a worker may still execute. AgeMs is how long ago
+// it was sent.
+type LateStart struct {
+	Worker string `json:"worker"`
+	Number int64  `json:"number"`
+	AgeMs  int64  `json:"ageMs"`
 }
 
 // UnknownPlacements returns the placements of a job of n tasks whose owner was
-// lost. What is known about done tasks and earlier attempts stays.
+// lost. What is known about done tasks, earlier attempts and starts without an answer
+// stays.
 func UnknownPlacements(n int, known []Placement) []Placement {
 	list := make([]Placement, n)
 	for i := range list {
@@ -270,7 +281,7 @@
 		case p.Done:
 			list[p.Task] = p
 		default:
-			list[p.Task].Failures, list[p.Task].HungRuns = p.Failures, p.HungRuns
+			list[p.Task].Failures, list[p.Task].HungRuns, list[p.Task].LateStarts = p.Failures, p.HungRuns, p.LateStarts
 		}
 	}
 	return list
--- a/entry/placer/owner.go
+++ b/entry/placer/owner.go
@@ -48,21 +48,21 @@
 // handleRelease gives up all workers. Jobs either move to the next owner, or
 // are answered with TargetLost, because the outcome of their runs is unknown,
 // or with NoTarget if no start was requested.
-func (s *State) handleRelease(msg Release) {
+func (s *State) handleRelease(now time.Time, msg Release) {
 	if !s.isOwner {
 		return
 	}
 	s.isOwner = false
 	for _, j := range s.sortedJobs() {
 		if msg.Moved {
-			s.emit(Answer{j.waiter, Result{Moved: true, Placements: j.placements()}})
+			s.emit(Answer{j.waiter, Result{Moved: true, Placements: s.placements(now, j)}})
 		} else {
 			s.answerReleased(j, messenger.TargetLost, msg.Reason)
 		}
 	}
 	s.jobs, s.waiting = map[string]*job{}, nil
 	for _, w := range s.sortedWorkers {
-		w.phase, w.unansweredHolds, w.holdPending, w.lost = released, 0, false, false
+		w.phase, w.unansweredHolds, w.holdPending, w.lost, w.refused = released, 0, false, false, false
 		w.resetRuns()
 	}
 	s.log("released the workers", map[string]any{"moved": msg.Moved, "reason": msg.Reason})
@@ -192,7 +192,7 @@
 	if w.lost {
 		s.log("worker answers again", map[string]any{"worker": w.ID, "unanswered": w.unansweredHolds})
 	}
-	w.lost = false
+	w.lost, w.refused = false, false
 	if msg.StartedAtMs > 0 && msg.StartedAtMs != w.StartedAtMs && s.handleWorkerRestart(now, w, msg.StartedAtMs) {
 		w.unansweredHolds, w.answeredAt, w.workerClockMs, w.clockReadAt = 0, now, msg.ClockMs, now
 		s.sendHold(now, w)
@@ -225,13 +225,13 @@
 		// that would end those jobs, so this entry waits for reclaimDelay.
 		// WorkerTakenOver is not emitted because it may cause a Claim, which reclaims
 		// released workers immediately.
-		w.phase, w.holdPending, w.unansweredHolds, w.lost, w.nextHoldAt = released, false, 0, false, now.Add(reclaimDelay)
+		w.phase, w.holdPending, w.unansweredHolds, w.lost, w.refused, w.nextHoldAt = released, false, 0, false, false, now.Add(reclaimDelay)
 		w.resetRuns()
 		return
 	}
 	// A hold with the rejected fence may still be pending; its response is
 	// ignored.
-	w.phase, w.holdPending, w.nextHoldAt = released, false, now.Add(holdRetryInterval)
+	w.phase, w.holdPending, w.refused, w.nextHoldAt = released, false, false, now.Add(holdRetryInterval)
 	w.resetRuns()
 	// This entry had not given up the worker, and its jobs wait for their runs
 	// there. The elector decides whether this entry reclaims the worker now or
@@ -240,6 +240,7 @@
 }
 
 func (s *State) handleUnansweredHold(now time.Time, w *worker, result HoldResult) {
+	suspected := w.mayHaveRestarted()
 	w.unansweredHolds++
 	w.nextHoldAt = now
 	if w.unansweredHolds > 1 {
@@ -261,6 +262,10 @@
 	if w.lost && result == HoldRefused {
 		s.recordCrash(now, w)
 	}
+	w.refused = w.refused || result == HoldRefused
+	if w.mayHaveRestarted() && !suspected {
+		s.stopBesideLateStarts(now, w)
+	}
 	if w.lost && (result == HoldRefused || now.Sub(w.answeredAt) >= giveUpAfter) {
 		s.failJobsOn(now, w, "the worker does not answer")
 	}
@@ -303,6 +308,7 @@
 	runs := sortedRuns(w)
 	w.resetRuns()
 	w.clockReadAt, w.health = time.Time{}, health{}
+	s.lateStarts.removeWorker(w)
 	for _, r := range runs {
 		s.handleRunEnd(now, w, r, EndExpired)
 	}
--- a/entry/placer/place.go
+++ b/entry/placer/place.go
@@ -68,7 +68,8 @@
 // slow ones. Among them, the worker with the least free CPU on which the task
 // fits is used first, which leaves larger blocks of resources for large tasks.
 func (s *State) placeJob(now time.Time, j *job, candidates []candidate) bool {
-	unplaced := j.unstartedTasks()
+	heldBack := s.heldBackTasks(now, j)
+	unplaced := j.unstartedTasks() - heldBack
 	nextTask := 0
 	for i := range candidates {
 		c := candidates[i]
@@ -77,7 +78,7 @@
 		}
 		n := min(unplaced, c.worker.startableTasks(now, j))
 		for range n {
-			for !j.isUnstarted(nextTask) {
+			for !j.isUnstarted(nextTask) || (heldBack > 0 && s.isHeldBack(now, j, nextTask)) {
 				nextTask++
 			}
 			s.startRun(now, c.worker, j, nextTask)
@@ -90,7 +91,7 @@
 	if nextTask > 0 || unplaced == 0 {
 		slices.SortStableFunc(candidates, compareCandidates)
 	}
-	return unplaced == 0
+	return unplaced+heldBack == 0
 }
 
 // isUnstarted reports whether a task has to be started.
--- a/entry/placer/runs.go
+++ b/entry/placer/runs.go
@@ -17,6 +17,7 @@
 	t.run = r
 	w.addRun(r)
 	j.started, j.startRequested = true, true
+	s.lateStarts.add(j.ID, lateStart{r.key, i, w, now})
 	s.emit(Start{
 		Worker: w.ID, Address: w.Address, Fence: w.fence, Key: r.key, Spec: j.Spec,
 		UntilMs: w.renewLease(now),
@@ -25,6 +26,9 @@
 
 func (s *State) handleStartResponse(now time.Time, msg StartResponse) {
 	w := s.workers[msg.Worker]
+	if w != nil && msg.Result != StartNoAnswer {
+		s.lateStarts.resolve(w, msg.Key)
+	}
 	if w == nil || w.phase != owned || msg.Fence > w.fence {
 		return
 	}
@@ -78,6 +82,7 @@
 			continue
 		}
 		w.lastEndIndex = e.Index
+		s.lateStarts.resolve(w, e.Key)
 		r := w.runs[e.Key]
 		if r == nil {
 			w.unmatchedEnds[e.Key] = runEnd{e.Kind, now}
@@ -89,6 +94,7 @@
 	listed := make(map[RunKey]bool, len(msg.Running))
 	for _, row := range msg.Running {
 		listed[row.Key] = true
+		s.lateStarts.resolve(w, row.Key)
 		s.observeRun(now, w, row)
 	}
 	for _, r := range sortedRuns(w) {
@@ -112,11 +118,16 @@
 	s.resolveOrphans(now, w)
 }
 
+// jobIDOf returns the id of the job that the task with the given name belongs to.
+func jobIDOf(task string) string {
+	id, _, _ := strings.Cut(task, ".")
+	return id
+}
+
 // findTask returns the job in progress that has the task with the given name, and
 // the index of the task, or nil.
 func (s *State) findTask(name string) (*job, int) {
-	id, _, _ := strings.Cut(name, ".")
-	j := s.jobs[id]
+	j := s.jobs[jobIDOf(name)]
 	if j == nil {
 		return nil, 0
 	}
--- a/entry/placer/simulation_test.go
+++ b/entry/placer/simulation_test.go
@@ -69,6 +69,8 @@
 	mute            bool
 	// A machine that refuses has no process.
 	refuses bool
+	// At the address of a replaced machine, another worker responds.
+	replaced bool
 }
 
 // owner is a simulated entry that can own the workers.
@@ -115,8 +117,10 @@
 	startedRuns int
 	// starts counts the runs of each task, and crashes those that crashed a worker.
 	starts, crashes map[string]int
-	// runNumbers holds the last run number sent for each task.
+	// runNumbers holds the last run number sent for each task, and startedOn the worker
+	// that it was sent to.
 	runNumbers map[string]int64
+	startedOn  map[string]*machine
 	logLines   []string
 	// restartDelay is how long a worker that crashed is down.
 	restartDelay time.Duration
@@ -127,7 +131,7 @@
 func newSimulation(seed int64, machines, owners int) *simulation {
 	s := &simulation{
 		now: time.UnixMilli(1_700_000_000_000), random: rand.New(rand.NewSource(seed)),
-		jobs: map[string]*submittedJob{}, waiters: map[placer.Waiter]*submittedJob{}, runNumbers: map[string]int64{},
+		jobs: map[string]*submittedJob{}, waiters: map[placer.Waiter]*submittedJob{}, runNumbers: map[string]int64{}, startedOn: map[string]*machine{},
 		starts: map[string]int{}, crashes: map[string]int{},
 	}
 	for i := range machines {
@@ -228,8 +232,11 @@
 func (s *simulation) handleHold(o *owner, cmd placer.Hold) {
 	m := s.machine(cmd.Worker)
 	noAnswer := placer.HoldResponse{Worker: cmd.Worker, Fence: cmd.Fence, Result: placer.HoldNoAnswer, Sent: cmd.Sent, Probe: cmd.Probe}
-	if m.refuses {
+	if m.refuses || m.replaced {
 		noAnswer.Result = placer.HoldRefused
+		if m.replaced {
+			noAnswer.Result = placer.HoldWrongWorker
+		}
 		s.schedule(s.networkDelay(), func(time.Time) { s.deliver(o, noAnswer) })
 		return
 	}
@@ -294,7 +301,7 @@
 	if last := s.runNumbers[cmd.Key.Task]; cmd.Key.Number <= last {
 		s.reportViolation("start %d of task %s was sent after start %d", cmd.Key.Number, cmd.Key.Task, last)
 	}
-	s.runNumbers[cmd.Key.Task] = cmd.Key.Number
+	s.runNumbers[cmd.Key.Task], s.startedOn[cmd.Key.Task] = cmd.Key.Number, m
 	reply := placer.StartResponse{Worker: cmd.Worker, Fence: cmd.Fence, Key: cmd.Key, Result: placer.StartNoAnswer}
 	p := s.random.Float64()
 	f := s.faults
--- a/entry/placer/state.go
+++ b/entry/placer/state.go
@@ -17,6 +17,7 @@
 	waiting       []*job
 	runTimes      runTimeEstimator
 	crashes       crashLog
+	lateStarts    lateStartLog
 
 	isOwner bool
 	// contested is set while another owner may exist. A later claim that is not
@@ -64,7 +65,7 @@
 	case Claim:
 		s.handleClaim(now, msg)
 	case Release:
-		s.handleRelease(msg)
+		s.handleRelease(now, msg)
 	case Submit:
 		s.handleSubmit(now, msg)
 	case Cancel:
@@ -78,7 +79,7 @@
 	case StopResponse:
 		s.handleStopResponse(now, msg)
 	case ProcessResumed:
-		s.handleProcessResumed(msg)
+		s.handleProcessResumed(now, msg)
 	case CrashesReported:
 		s.handleCrashesReported(now, msg.Crashes)
 	case Tick:
@@ -138,8 +139,8 @@
 
 func (s *State) log(text string, fields map[string]any) { s.emit(Log{Text: text, Fields: fields}) }
 
-// updateWorkers applies a new list of workers. A worker that is no longer
-// listed is kept while it has runs or a pending hold.
+// updateWorkers applies a new list of workers. A worker that is no longer listed is
+// kept while it has runs or a pending hold, or may execute a late start.
 func (s *State) updateWorkers(now time.Time, list []Worker) {
 	present := make(map[string]bool, len(list))
 	var appeared, left []string
@@ -209,6 +210,7 @@
 		}
 		s.tickWorker(now, w)
 	}
+	s.lateStarts.prune(now)
 	s.pruneWorkers()
 	if s.crashes.prune(now) {
 		s.emit(CrashesChanged{})
@@ -285,12 +287,12 @@
 	})
 }
 
-// pruneWorkers removes unlisted workers that have neither runs nor a pending
-// hold.
+// pruneWorkers removes unlisted workers that have neither runs nor a pending hold,
+// and can't execute a late start.
 func (s *State) pruneWorkers() {
 	kept := s.sortedWorkers[:0]
 	for _, w := range s.sortedWorkers {
-		if w.removed && len(w.runs) == 0 && !w.holdPending {
+		if w.removed && len(w.runs) == 0 && w.lateStarts == 0 && !w.holdPending {
 			delete(s.workers, w.ID)
 			continue
 		}
@@ -302,9 +304,9 @@
 // handleProcessResumed releases all workers after the process was suspended.
 // Another entry may own them by now, and the leases have expired. No hold is
 // sent, and so no worker is claimed, before the next [Claim].
-func (s *State) handleProcessResumed(msg ProcessResumed) {
+func (s *State) handleProcessResumed(now time.Time, msg ProcessResumed) {
 	if s.isOwner {
 		s.log("released all workers after the process was suspended", map[string]any{"gapMs": msg.Gap.Milliseconds(), "jobs": len(s.jobs)})
 	}
-	s.handleRelease(Release{Reason: "the process was suspended"})
+	s.handleRelease(now, Release{Reason: "the process was suspended"})
 }
--- a/entry/placer/submit.go
+++ b/entry/placer/submit.go
@@ -36,6 +36,13 @@
 		s.enqueue(j)
 		return
 	}
+	if s.heldBackTasks(now, j) > 0 {
+		// An earlier submission of the job has run or may still run.
+		s.log("job waits for a worker that may have restarted", map[string]any{"job": j.ID, "entry": msg.Entry})
+		j.started, j.startRequested = true, true
+		s.enqueue(j)
+		return
+	}
 	if err := s.admissionError(now, j); err != nil {
 		s.finishJob(now, j, Result{Err: err})
 		return
@@ -54,6 +61,7 @@
 		t := &j.tasks[p.Task]
 		t.workerID, t.lastRunNumber = p.Worker, p.Number
 		t.failures, t.hungRuns = max(p.Failures, 0), max(p.HungRuns, 0)
+		s.addLateStarts(now, j, p)
 		if p.Done && !t.done {
 			t.done = true
 			j.remainingTasks--
--- a/entry/placer/worker.go
+++ b/entry/placer/worker.go
@@ -137,6 +137,9 @@
 	// unsizedRuns is the number of runs that usedResources lacks.
 	unsizedRuns int
 	runs        map[RunKey]*run
+	// lateStarts is the number of starts in [State.lateStarts] that were sent to the
+	// worker.
+	lateStarts int
 	// orphans is the number of runs without a job.
 	orphans int
 	// renewedAt is when the last request that renewed the leases was sent.
@@ -158,7 +161,10 @@
 	// under a higher fence.
 	runsUnknown bool
 	// lost is set while the worker counts as unresponsive.
-	lost                 bool
+	lost bool
+	// refused is set when the worker's address refuses connections, until the worker
+	// answers.
+	refused              bool
 	nextHoldAt           time.Time
 	claimedAt            time.Time
 	placementPausedUntil time.Time
