placer: tests of a run whose start got no answer beside its job's next run

A worker executes a start, its replies are lost, and stops don't arrive. The job is cancelled after 0.1 s. leaseLimit leaves the run out, since it was not seen to run, so the holds renew its lease for another job's sake until that one fails after 2 s. The caller sends the job again 1.3 s after the cancellation, to the same owner, for which orphanGone holds, or to another group: the task has two runs at once.

--- a/entry/placer/simulation_test.go
+++ b/entry/placer/simulation_test.go
@@ -57,7 +57,12 @@
 	lostStarts, delayedStarts, lostStartReplies float64
 	// Lost stops are neither executed nor answered.
 	lostStops float64
-	lostHolds float64
+	// Lost holds never arrive. Delayed holds time out at the owner and arrive 2 to
+	// 12 s later.
+	lostHolds, delayedHolds float64
+	// exactLeases is set if the leases of all delayed requests end when the owner
+	// said. Otherwise half of them count from the arrival of the request.
+	exactLeases bool
 }
 
 // machine is a simulated worker. It can't be reached by the owners in
@@ -73,9 +78,11 @@
 
 // owner is a simulated entry that can own the workers.
 type owner struct {
-	name    string
-	state   *placer.State
-	crashed bool
+	name  string
+	state *placer.State
+	// machines are those of its worker group.
+	machines []*machine
+	crashed  bool
 }
 
 // submittedJob is a job as seen by its caller.
@@ -111,7 +118,9 @@
 	// violations lists what must never happen: two runs of a task at the same
 	// time, run numbers that do not increase, a second answer to a request, and
 	// the answer "did not run" for a job that ran.
-	violations  []string
+	violations []string
+	// secondRuns are the violations that are two runs of a task at the same time.
+	secondRuns  []string
 	startedRuns int
 	// starts counts the runs of each task, and crashes those that crashed a worker.
 	starts, crashes map[string]int
@@ -139,18 +148,27 @@
 		m.CPU, m.StartedAt = cpu, s.now.Add(-time.Duration(i+1)*time.Second)
 		s.machines = append(s.machines, m)
 	}
-	for i := range owners {
-		o := &owner{name: fmt.Sprintf("e%d", i), state: placer.New(uint64(i + 1))}
-		s.owners = append(s.owners, o)
-		s.deliver(o, placer.WorkersListed{Workers: s.workerList()})
-		s.scheduleTick(o)
+	for range owners {
+		s.addOwner(s.machines)
 	}
 	return s
 }
 
-func (s *simulation) workerList() []placer.Worker {
+// addOwner adds an entry that can own the given workers.
+func (s *simulation) addOwner(machines []*machine) *owner {
+	i := len(s.owners)
+	o := &owner{name: fmt.Sprintf("e%d", i), state: placer.New(uint64(i + 1)), machines: machines}
+	s.owners = append(s.owners, o)
+	s.deliver(o, placer.WorkersListed{Workers: listWorkers(machines)})
+	s.scheduleTick(o)
+	return o
+}
+
+func (s *simulation) workerList() []placer.Worker { return listWorkers(s.machines) }
+
+func listWorkers(machines []*machine) []placer.Worker {
 	var list []placer.Worker
-	for i, m := range s.machines {
+	for i, m := range machines {
 		list = append(list, placer.Worker{
 			ID: m.id, Address: m.id, FailureDomain: fmt.Sprintf("d%d", i%4), Service: simulatedService,
 			Resources: placer.Resources{CPU: m.CPU, Mem: 1 << 20}, StartedAtMs: m.StartedAt.UnixMilli(),
@@ -233,8 +251,15 @@
 		s.schedule(s.networkDelay(), func(time.Time) { s.deliver(o, noAnswer) })
 		return
 	}
-	if m.unreachableFrom[o] || s.random.Float64() < s.faults.lostHolds {
+	if m.unreachableFrom[o] {
+		s.schedule(cmd.Wait+holdReplyTimeout, func(time.Time) { s.deliver(o, noAnswer) })
+		return
+	}
+	if p := s.random.Float64(); p < s.faults.lostHolds+s.faults.delayedHolds {
 		s.schedule(cmd.Wait+holdReplyTimeout, func(time.Time) { s.deliver(o, noAnswer) })
+		if p >= s.faults.lostHolds {
+			s.delay(m, cmd.UntilMs, func(now time.Time, untilMs int64) { m.Hold(now, untilMs, cmd.Fence, cmd.LastEnd) })
+		}
 		return
 	}
 	receivedAt := s.now
@@ -285,6 +310,18 @@
 	s.schedule(s.networkDelay(), poll)
 }
 
+// delay executes a request 2 to 12 s later. In some scenarios its lease counts from
+// its arrival.
+func (s *simulation) delay(m *machine, untilMs int64, execute func(now time.Time, untilMs int64)) {
+	fromArrival := s.random.Intn(2) == 0 && !s.faults.exactLeases
+	s.schedule(2*time.Second+time.Duration(s.random.Int63n(int64(10*time.Second))), func(now time.Time) {
+		if fromArrival && untilMs > 0 {
+			untilMs = m.ClockMs(now) + 1000
+		}
+		execute(now, untilMs)
+	})
+}
+
 var startResults = map[string]placer.StartResult{
 	"": placer.StartAccepted, "fence": placer.StartFenced, "old": placer.StartOldNumber, "late": placer.StartLate, "room": placer.StartInsufficientResources,
 }
@@ -308,18 +345,13 @@
 		return
 	case p < f.lostStarts+f.delayedStarts:
 		s.schedule(requestTimeout, func(time.Time) { s.deliver(o, reply) })
-		fromArrival := s.random.Intn(2) == 0
-		s.schedule(2*time.Second+time.Duration(s.random.Int63n(int64(10*time.Second))), func(now time.Time) {
-			if fromArrival {
-				// In some scenarios the lease of a delayed request counts from
-				// its arrival.
-				cmd.UntilMs = m.ClockMs(now) + 1000
-			}
+		s.delay(m, cmd.UntilMs, func(now time.Time, untilMs int64) {
+			cmd.UntilMs = untilMs
 			s.executeStart(now, m, cmd)
 		})
 		return
 	}
-	replyLost := p < f.lostStarts+f.delayedStarts+f.lostStartReplies
+	replyLost := m.mute || p < f.lostStarts+f.delayedStarts+f.lostStartReplies
 	s.schedule(s.networkDelay(), func(now time.Time) {
 		reason := s.executeStart(now, m, cmd)
 		if replyLost {
@@ -350,6 +382,7 @@
 		for _, r := range other.Runs(now) {
 			if r.Key.Task == cmd.Key.Task && (other != m || r.Key.Number != cmd.Key.Number) {
 				s.reportViolation("task %s runs on %s (run %d) and %s (run %d)", cmd.Key.Task, m.id, cmd.Key.Number, other.id, r.Key.Number)
+				s.secondRuns = append(s.secondRuns, s.violations[len(s.violations)-1])
 			}
 		}
 	}
@@ -383,6 +416,10 @@
 	}
 	s.schedule(s.networkDelay(), func(now time.Time) {
 		ok := m.Stop(now, executor.Key(cmd.Key), cmd.Fence)
+		if m.mute {
+			s.schedule(requestTimeout, func(time.Time) { s.deliver(o, placer.StopResponse{Worker: cmd.Worker, Key: cmd.Key}) })
+			return
+		}
 		s.schedule(s.networkDelay(), func(time.Time) { s.deliver(o, placer.StopResponse{Worker: cmd.Worker, Key: cmd.Key, OK: ok}) })
 	})
 }
--- a/standin/fleet/executor/executor.go
+++ b/standin/fleet/executor/executor.go
@@ -57,6 +57,9 @@
 	FailAll bool
 	// SlowFactor multiplies the run time of tasks if it is greater than 1.
 	SlowFactor int
+	// ClockSlowPercent is how much slower the worker's clock is than real time. Its
+	// leases last longer by as much.
+	ClockSlowPercent int64
 
 	// endCounts counts ended runs by how they ended, across restarts.
 	endCounts    map[string]int
@@ -76,7 +79,14 @@
 
 // ClockMs returns the worker's monotonic clock: milliseconds since its start.
 // Responses contain it because entries specify the end of leases on this clock.
-func (e *Executor) ClockMs(now time.Time) int64 { return now.Sub(e.StartedAt).Milliseconds() }
+func (e *Executor) ClockMs(now time.Time) int64 {
+	return now.Sub(e.StartedAt).Milliseconds() * (100 - e.ClockSlowPercent) / 100
+}
+
+// onClock returns how long the worker's clock takes to advance by d.
+func (e *Executor) onClock(d time.Duration) time.Duration {
+	return d * 100 / time.Duration(100-e.ClockSlowPercent)
+}
 
 // Runs returns the runs in execution, ordered by key.
 func (e *Executor) Runs(now time.Time) []Run {
@@ -193,8 +203,8 @@
 // extendLease extends the lease, which all runs share, to untilMs on the worker's
 // clock but at most by maxLease. It never shortens the lease.
 func (e *Executor) extendLease(now time.Time, untilMs int64) {
-	until := e.StartedAt.Add(time.Duration(untilMs) * time.Millisecond)
-	if limit := now.Add(maxLease); until.After(limit) {
+	until := e.StartedAt.Add(e.onClock(time.Duration(untilMs) * time.Millisecond))
+	if limit := now.Add(e.onClock(maxLease)); until.After(limit) {
 		until = limit
 	}
 	if until.After(e.leaseEnd) {
