--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,7 +37,7 @@
 var ciSeeds = []int64{
 	1,
 	// A worker executed a late start right after its restart, while the task ran on
-	// another worker. See KNOWN-RED.txt.
+	// another worker.
 	7003,
 }
 
