placer: a list that was overtaken by a newer one is not used

Two responses of a worker can arrive in the wrong order, on two connections. An older list then showed a run whose end had been handled.

The worker's clock in each response tells their order; an older response still shows that the worker answers. TestOvertakenList failed before: a stop, no renewed lease, one start of two.

--- a/entry/placer/orphan_test.go
+++ b/entry/placer/orphan_test.go
@@ -350,3 +350,35 @@
 		t.Error("the leases are not renewed once the worker has listed its runs")
 	}
 }
+
+// TestOvertakenList guards against a run that is taken for one without a job, which
+// keeps leases from being renewed and tasks from the worker, because a list from before
+// its end arrives after it.
+func TestOvertakenList(t *testing.T) {
+	key := placer.RunKey{Task: "j0000.0.0.0", Number: 1}
+	for _, probe := range []bool{true, false} {
+		t.Run(fmt.Sprintf("probe %v", probe), func(t *testing.T) {
+			o := newRecordedOwner(1, "w0")
+			o.deliver(placer.Claim{WallMs: o.now.UnixMilli()})
+			o.list("w0", nil)
+			o.deliver(placer.Submit{Waiter: 1, Entry: "e0", Job: newJob("j0000", 1, 27000, 300)})
+			o.deliver(placer.StartResponse{Worker: "w0", Fence: o.hold.Fence, Key: key, Result: placer.StartAccepted, ClockMs: 1000})
+			o.now = o.now.Add(300 * time.Millisecond)
+			o.respond(placer.HoldResponse{ClockMs: 1300, Ended: []placer.EndedRun{{Index: 1, Key: key, Kind: placer.EndDone}}})
+			o.respond(placer.HoldResponse{ClockMs: 1299, Running: []placer.RunningRun{{Key: key, Percent: 99}}, Probe: probe})
+			o.now = o.now.Add(20 * time.Millisecond)
+			o.deliver(placer.Tick{})
+			if len(o.stops) > 0 {
+				t.Errorf("stops %+v were sent, want none", o.stops)
+			}
+			o.respond(placer.HoldResponse{ClockMs: 1320})
+			if o.hold.UntilMs == 0 {
+				t.Error("the leases are not renewed")
+			}
+			o.deliver(placer.Submit{Waiter: 2, Entry: "e0", Job: newJob("j0001", 1, 27000, 300)})
+			if len(o.starts) != 2 {
+				t.Errorf("%d starts were sent, want 2", len(o.starts))
+			}
+		})
+	}
+}
--- a/entry/placer/owner.go
+++ b/entry/placer/owner.go
@@ -170,7 +170,7 @@
 	}
 	if msg.Probe {
 		// Only the regular hold decides whether a worker is lost.
-		if msg.Result == HoldAnswered && w.phase == owned && msg.StartedAtMs == w.StartedAtMs && !w.runsUnknown {
+		if msg.Result == HoldAnswered && w.phase == owned && msg.StartedAtMs == w.StartedAtMs && !w.runsUnknown && !w.overtaken(msg) {
 			w.answeredAt, w.workerClockMs, w.clockReadAt = now, msg.ClockMs, now
 			s.reconcile(now, w, msg)
 		}
@@ -202,14 +202,23 @@
 	if w.phase == claiming && w.fence == s.fence {
 		s.fenceStep = initialFenceStep
 	}
+	overtaken := w.phase == owned && w.overtaken(msg)
 	w.phase, w.unansweredHolds, w.answeredAt = owned, 0, now
-	w.workerClockMs, w.clockReadAt = msg.ClockMs, now
-	s.reconcile(now, w, msg)
+	if !overtaken {
+		w.workerClockMs, w.clockReadAt = msg.ClockMs, now
+		s.reconcile(now, w, msg)
+	}
 	if s.isOwner {
 		s.sendHold(now, w)
 	}
 }
 
+// overtaken reports whether a response is older than one that has arrived before it, on
+// another connection. Its lists show runs that have ended since.
+func (w *worker) overtaken(msg HoldResponse) bool {
+	return msg.StartedAtMs > 0 && msg.StartedAtMs == w.StartedAtMs && msg.ClockMs < w.workerClockMs
+}
+
 // handleFenced handles a worker that another owner has taken over.
 func (s *State) handleFenced(now time.Time, w *worker) {
 	s.log("another owner took a worker", map[string]any{"worker": w.ID, "fence": w.fence, "unanswered": w.unansweredHolds})
--- a/entry/placer/takeover_test.go
+++ b/entry/placer/takeover_test.go
@@ -191,6 +191,7 @@
 	// hold is the last hold that was sent.
 	hold    placer.Hold
 	starts  []placer.Start
+	stops   []placer.Stop
 	answers []placer.Result
 }
 
@@ -212,6 +213,8 @@
 			o.hold = cmd
 		case placer.Start:
 			o.starts = append(o.starts, cmd)
+		case placer.Stop:
+			o.stops = append(o.stops, cmd)
 		case placer.Answer:
 			o.answers = append(o.answers, cmd.Result)
 		}
@@ -225,6 +228,12 @@
 	})
 }
 
+// respond delivers a response of the worker that the last hold was sent to.
+func (o *recordedOwner) respond(msg placer.HoldResponse) {
+	msg.Worker, msg.Fence, msg.Result, msg.StartedAtMs, msg.Sent = o.hold.Worker, o.hold.Fence, placer.HoldAnswered, 5, o.hold.Sent
+	o.deliver(msg)
+}
+
 // TestResumedTaskAwaitsAllWorkers guards against a second run of a task beside one
 // that the previous owner started on another worker: the run that is found first has
 // ended, and the other worker has not listed its runs yet.
