placer: a slow clock does not extend the leases beside a run without a job

The end of a lease was given on the worker's clock as if that ran like the entry's. It may be 2 percent slow, and is read with the last response only: on a worker that had been silent for a second the lease of a run without a job ended up to 60 ms after orphanLease. With an owner that notices the loss of an entry after 40 to 90 ms it was at work when the caller sent its job again. The time until which leases are renewed is now counted on a clock that is 2 percent slow.

--- a/entry/placer/doc.go
+++ b/entry/placer/doc.go
@@ -104,14 +104,15 @@
 	orphanMatchTimeout = 300 * time.Millisecond
 	// orphanLease is how long after a run lost its job the leases on its worker may
 	// be renewed. Callers resubmit a job 1.3 s after their connection broke, to any
-	// entry, and the run must have ended by then. A worker's clock may be 2 percent
-	// slow.
+	// entry, and the run must have ended by then.
 	orphanLease = 1200 * time.Millisecond
 	// orphanStopAllowance is how long before its loss the previous owner may have lost
 	// a job whose runs it had not stopped yet: two stop requests may get no answer.
 	orphanStopAllowance = 300 * time.Millisecond
+	// maxClockSlowPercent is how much slower a worker's clock may be than an entry's.
+	maxClockSlowPercent = 2
 	// maxExpiryDelay is how long after the last request that renewed the leases on a
-	// worker they have expired, with a worker's clock that is 2 percent slow.
+	// worker they have expired.
 	maxExpiryDelay = 1050 * time.Millisecond
 	// minStartLease is the minimum lease with which a run is started. Leases are
 	// shorter than leaseDuration beside a run without a job.
--- a/entry/placer/orphan_test.go
+++ b/entry/placer/orphan_test.go
@@ -17,10 +17,14 @@
 // resubmit submits a job again on behalf of its caller, who knows of no runs. Its run
 // numbers start again.
 func (s *simulation) resubmit(o *owner, j *submittedJob) {
+	s.forgetRunNumbers(j)
+	s.submit(o, j.job, j.task)
+}
+
+func (s *simulation) forgetRunNumbers(j *submittedJob) {
 	for i := range j.job.Tasks {
 		delete(s.runNumbers, fmt.Sprintf("%s.0.0.%d", j.job.ID, i))
 	}
-	s.submit(o, j.job, j.task)
 }
 
 // runsOf returns the number of runs of a job in execution.
--- a/entry/placer/worker.go
+++ b/entry/placer/worker.go
@@ -190,7 +190,8 @@
 		return 0
 	}
 	w.renewedAt = now
-	return w.workerClockMs + now.Sub(w.clockReadAt).Milliseconds() + d.Milliseconds()
+	// On a slow clock the lease must not last longer than d either.
+	return w.workerClockMs + (now.Sub(w.clockReadAt)+d).Milliseconds()*(100-maxClockSlowPercent)/100
 }
 
 // keepUnlisted reports whether a worker that is not listed is used a little
