elector: the next owner knows how long ago the first run lost its job

What callers could see: a task ran twice at once after two losses. The stops of a lost entry's runs got no answer for longer than 0.3 s, their owner was lost 0.6 to 1.15 s after the entry, and the next owner took them for runs that had lost their jobs 0.3 s before their owner was heard last. It renewed their leases until after the caller had sent the job again, to another worker group.

Owners now report the age of the oldest run that lost its job and may still be at work. The next owner counts from there. While stops are confirmed, nothing changes.

--- a/entry/elector/elector.go
+++ b/entry/elector/elector.go
@@ -62,6 +62,8 @@
 	// settledOwnership is how long an entry must have followed an owner to rely on it
 	// having stopped the runs that the owner before it left behind.
 	settledOwnership = 1500 * time.Millisecond
+	// maxOrphanAgeMs limits what an owner reports as View.OrphanAgeMs.
+	maxOrphanAgeMs = 10_000
 	// minOwnership is how long an owner keeps the workers before it may hand
 	// them over to a stronger entry.
 	minOwnership = 2 * time.Second
--- a/entry/elector/member.go
+++ b/entry/elector/member.go
@@ -92,6 +92,9 @@
 	Owner string `json:"owner,omitempty"`
 	// Successor is the entry to which a former owner handed the workers.
 	Successor string `json:"successor,omitempty"`
+	// OrphanAgeMs is how long ago a run on the workers of the sender lost its job that
+	// may still be in progress, the longest time if there are several, or 0.
+	OrphanAgeMs int64 `json:"orphanAgeMs,omitempty"`
 	// Draining is set once the planned stop of the sender has started.
 	Draining bool `json:"stopping,omitempty"`
 	// NoWorkers is set if the sender does not know the workers of its group yet,
--- a/entry/elector/message.go
+++ b/entry/elector/message.go
@@ -72,8 +72,9 @@
 	// Heard and Known are the counts of entries heard recently and known,
 	// including this one.
 	Heard, Known int
-	// PreviousOwnerHeardAt is a time at which the previous owner was still alive, or
-	// zero if none is known.
+	// PreviousOwnerHeardAt is a time at which the previous owner was still alive, and
+	// before which no run that may still be in progress lost its job, or zero if none is
+	// known.
 	PreviousOwnerHeardAt time.Time
 }
 
--- a/entry/elector/network_test.go
+++ b/entry/elector/network_test.go
@@ -29,7 +29,9 @@
 	previousHeardAt time.Time
 	claims          int
 	handovers       int
-	lost            []string
+	// orphanAge is how long ago a run that may still be in progress lost its job.
+	orphanAge time.Duration
+	lost      []string
 	// followed lists the owners that the entry has followed, in order.
 	followed []string
 	// group and groupDomain are assigned to the entry after its start.
@@ -233,6 +235,7 @@
 			n.receive(target, func() {
 				n.deliver(target, elector.PingReceived{View: sender.View()})
 				view := n.entries[target].state.View()
+				view.OrphanAgeMs = n.entries[target].orphanAge.Milliseconds()
 				n.schedule(delay, func() { n.receive(from, func() { reply(elector.PingAnswered{View: view}) }) })
 			})
 		}
--- a/entry/elector/owner.go
+++ b/entry/elector/owner.go
@@ -65,15 +65,16 @@
 	}
 }
 
-// ownerHeardAt returns a time at which the current owner was alive, or zero if it
-// has not been the owner for long: runs that the owner before it left behind may then
-// still be in progress.
+// ownerHeardAt returns a time at which the current owner was alive and before which no
+// run that may still be in progress lost its job. It returns zero if the owner has not
+// been one for long: runs that the owner before it left behind may then still be in
+// progress.
 func (s *State) ownerHeardAt(now time.Time) time.Time {
 	m := s.members[s.owner]
 	if m == nil || now.Sub(s.ownerSince) < settledOwnership {
 		return time.Time{}
 	}
-	return m.answeredPingSentAt
+	return m.answeredPingSentAt.Add(-time.Duration(min(max(m.view.OrphanAgeMs, 0), maxOrphanAgeMs)) * time.Millisecond)
 }
 
 func (s *State) claim(now time.Time, contested bool, reason string) {
--- a/entry/placer/message.go
+++ b/entry/placer/message.go
@@ -28,8 +28,9 @@
 	// HighestKnownFence is the highest fence known to this entry.
 	HighestKnownFence int64
 	Contested         bool
-	// PreviousOwnerHeardAt is when this entry last heard the owner that it
-	// replaces, or zero if it heard none.
+	// PreviousOwnerHeardAt is when this entry last heard the owner that it replaces, or
+	// when the first run that may still be in progress had lost its job by then, if that
+	// is earlier. It is zero if this entry heard no owner.
 	PreviousOwnerHeardAt time.Time
 }
 
--- a/entry/placer/orphan.go
+++ b/entry/placer/orphan.go
@@ -24,6 +24,24 @@
 	return limit
 }
 
+// OldestOrphan returns when the first run without a job that may still be in progress
+// lost it, or zero if there is none.
+func (s *State) OldestOrphan(now time.Time) time.Time {
+	var oldest time.Time
+	for _, w := range s.sortedWorkers {
+		if w.orphans == 0 {
+			continue
+		}
+		for _, r := range w.runs {
+			// The leases of older runs have expired.
+			if r.job == nil && r.stopAttempts >= 0 && now.Sub(r.orphanedAt) < orphanLease && (oldest.IsZero() || r.orphanedAt.Before(oldest)) {
+				oldest = r.orphanedAt
+			}
+		}
+	}
+	return oldest
+}
+
 // orphanExpired reports whether the runs found on w are stopped if no job has been
 // matched with them. While ownership is contested, they may have jobs at a competing
 // owner, unless that one has left another worker of the failure domain to this owner.
--- a/entry/placer/orphan_test.go
+++ b/entry/placer/orphan_test.go
@@ -386,3 +386,37 @@
 		})
 	}
 }
+
+// TestUnstoppedOrphansUnderOwnerLoss guards against runs that are still in progress when
+// their caller resubmits the job to another worker group: their stops got no answer, and
+// the owner was lost before their leases had ended.
+func TestUnstoppedOrphansUnderOwnerLoss(t *testing.T) {
+	for lossMs := 300; lossMs <= 1150; lossMs += 50 {
+		for _, claimMs := range []int{50, 100, 150, 200} {
+			t.Run(fmt.Sprintf("owner lost after %d ms, claim after %d ms", lossMs, claimMs), func(t *testing.T) {
+				s := newSimulation(1, 8, 2)
+				first, next := s.owners[0], s.owners[1]
+				s.deliver(first, placer.Claim{WallMs: s.now.UnixMilli()})
+				s.run(2 * time.Second)
+				j := s.submit(first, newJob("j0000", 8, 27000, 200), executor.Task{CPU: 27000, Duration: 4 * time.Second})
+				s.run(200 * time.Millisecond)
+				lostAt := s.now
+				s.faults.lostStops = 1
+				s.schedule(60*time.Millisecond, func(time.Time) { s.deliver(first, placer.Cancel{JobID: j.job.ID}) })
+				s.run(time.Duration(lossMs) * time.Millisecond)
+				heardAt := s.now
+				if at := first.state.OldestOrphan(s.now); !at.IsZero() {
+					heardAt = at
+				}
+				first.crashed = true
+				s.run(time.Duration(claimMs) * time.Millisecond)
+				s.faults.lostStops = 0
+				s.deliver(next, placer.Claim{WallMs: s.now.UnixMilli() + 5000, PreviousOwnerHeardAt: heardAt})
+				s.run(lostAt.Add(resubmitDelay).Sub(s.now))
+				if n := s.runsOf(j); n > 0 {
+					t.Errorf("%d runs are still in progress when the caller resubmits the job", n)
+				}
+			})
+		}
+	}
+}
--- a/entry/relayer/peer.go
+++ b/entry/relayer/peer.go
@@ -62,6 +62,9 @@
 		Layout: r.groups.current().Layout, LeastCapacity: r.groups.leastCapacity.Load(), Fence: r.fence.Load(),
 		CrashDigest: r.crashes.Load().report.Digest,
 	}
+	if at := r.oldestOrphan.Load(); at != nil {
+		b.View.OrphanAgeMs = time.Since(*at).Milliseconds() + 1
+	}
 	// The age is read first: a newer configuration may be applied in between.
 	age, known := r.confirmations.Age(timeSinceBoot())
 	if cfg := r.configuration.Load(); cfg != nil {
--- a/entry/relayer/relayer.go
+++ b/entry/relayer/relayer.go
@@ -121,6 +121,8 @@
 	crashes          atomic.Pointer[knownCrashes]
 	crashesFetchedAt atomic.Int64
 	freeCPU          atomic.Int64
+	// oldestOrphan is the value of placer.State.OldestOrphan.
+	oldestOrphan atomic.Pointer[time.Time]
 	// fence is the highest fencing token seen by this entry.
 	fence             atomic.Int64
 	ownership         atomic.Pointer[ownership]
@@ -181,6 +183,7 @@
 			r.handle(now, elector.Tick{WallMs: now.UnixMilli()})
 			r.handle(now, placer.Tick{ResponseTime: r.responses.ResponseTime()})
 			r.freeCPU.Store(r.placer.FreeCPU(now))
+			r.recordOrphans(now)
 			r.setGauges(now)
 		}
 		if msg != nil {
@@ -215,6 +218,15 @@
 	}
 }
 
+// recordOrphans records the runs without a job for the heartbeats.
+func (r *Relayer) recordOrphans(now time.Time) {
+	if at := r.placer.OldestOrphan(now); at.IsZero() {
+		r.oldestOrphan.Store(nil)
+	} else {
+		r.oldestOrphan.Store(&at)
+	}
+}
+
 // raiseFence records a fencing token if it is the highest so far, so that the
 // next owner starts above it.
 func (r *Relayer) raiseFence(fence int64) {
