--- a/entry/placer/latestart_test.go
+++ b/entry/placer/latestart_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,6 +77,11 @@
 	h.schedule(down+after+healed, func(time.Time) { delete(h.crashed.unreachableFrom, h.owner) })
 }
 
+// logged reports whether an owner has logged the text.
+func (h *lateStartHistory) logged(text string) bool {
+	return slices.ContainsFunc(h.logLines, func(line string) bool { return strings.Contains(line, text) })
+}
+
 func (h *lateStartHistory) executeLateStart(now time.Time) {
 	h.executeStart(now, h.crashed, placer.Start{Worker: h.crashed.id, Fence: h.fence, Key: placer.RunKey{Task: "j0000.0.0.0", Number: 1}, UntilMs: h.crashed.ClockMs(now) + 1000})
 }
@@ -129,6 +136,23 @@
 	})
 }
 
+// TestLateStartAfterRestartBehindCut guards against a run that is not stopped because its
+// late start's worker restarted, and was cut off before it had listed its runs: it may
+// restart again.
+func TestLateStartAfterRestartBehindCut(t *testing.T) {
+	sweepLateStarts(t, func(t *testing.T, after time.Duration) {
+		h := newLateStartHistory(t, 2, 6*time.Second)
+		h.crashed.Restart(h.now)
+		for !h.logged("worker restarted") {
+			h.run(time.Millisecond)
+		}
+		h.restartBehindCut(1500*time.Millisecond, after, 500*time.Millisecond)
+		h.run(20 * time.Second)
+		h.checkNoViolations(t)
+		h.checkCompleted(t, h.job)
+	})
+}
+
 // TestLateStartOfResubmittedTask guards against a second run of a task whose caller
 // resubmits it while the worker that may execute its start late is down.
 func TestLateStartOfResubmittedTask(t *testing.T) {
