placer: a handover passes the late starts of tasks that were not started since

A job that was resubmitted and held back has no run of its own yet, and its tasks were left out of the placements, and with them the reason why they wait: the next owner started them while a worker could still execute an earlier start.

--- a/entry/placer/job.go
+++ b/entry/placer/job.go
@@ -139,10 +139,11 @@
 	var list []Placement
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		if t.done || t.lastRunNumber > 0 || t.awaitedRun != nil {
+		lateStarts := s.lateStarts.of(now, j.ID, i)
+		if t.done || t.lastRunNumber > 0 || t.awaitedRun != nil || len(lateStarts) > 0 {
 			list = append(list, Placement{
 				Task: i, Worker: t.workerID, Number: t.lastRunNumber, Done: t.done, Ended: t.run == nil && t.awaitedRun == nil,
-				Failures: t.failures, HungRuns: t.hungRuns, LateStarts: s.lateStarts.of(now, j.ID, i),
+				Failures: t.failures, HungRuns: t.hungRuns, LateStarts: lateStarts,
 			})
 		}
 	}
--- a/entry/placer/latestart_test.go
+++ b/entry/placer/latestart_test.go
@@ -153,6 +153,27 @@
 	})
 }
 
+// TestLateStartOfHeldBackTaskAfterHandover guards against an owner that does not know
+// why a task of a job that it took over had not been started.
+func TestLateStartOfHeldBackTaskAfterHandover(t *testing.T) {
+	sweepLateStarts(t, func(t *testing.T, after time.Duration) {
+		h := newLateStartHistory(t, 2, 6*time.Second)
+		h.deliver(h.owner, placer.EntryLost{Entry: h.owner.name})
+		h.restart(3*time.Second, after)
+		h.run(resubmitDelay)
+		h.resubmit(h.owner, h.job)
+		h.run(100 * time.Millisecond)
+		next := h.owners[1]
+		h.deliver(h.owner, placer.Release{Moved: true, Reason: "a planned change"})
+		h.owner = next
+		h.deliver(next, placer.Claim{WallMs: h.now.UnixMilli()})
+		h.resubmitMoved(next)
+		h.run(20 * time.Second)
+		h.checkNoViolations(t)
+		h.checkCompleted(t, h.job)
+	})
+}
+
 // TestLateStartOfResubmittedTask guards against a second run of a task whose caller
 // resubmits it while the worker that may execute its start late is down.
 func TestLateStartOfResubmittedTask(t *testing.T) {
--- a/entry/placer/submit.go
+++ b/entry/placer/submit.go
@@ -66,7 +66,7 @@
 			t.done = true
 			j.remainingTasks--
 		}
-		if t.done || (p.Ended && p.Number != 0) {
+		if t.done || p.Ended {
 			continue
 		}
 		t.awaitedRun, t.awaitingSince = &RunKey{j.taskName(p.Task), p.Number}, now
