placer: random series of worker groups whose callers send their jobs again

TestNoSecondRunAcrossGroups plays two and three worker groups with lost entries and owners, handovers, competing claims, cuts both ways and one way, slow clocks, and requests that are lost, unanswered or executed 2 to 12 s late. TestNextOwnerOfOrphan is the smallest schedule in which the next owner prolonged a run that the previous one could not stop; it fails if the report of old orphans is left out.

--- a/entry/placer/groups_test.go
+++ b/entry/placer/groups_test.go
@@ -121,3 +121,17 @@
 		})
 	}
 }
+
+// TestNextOwnerOfOrphan guards against a run that the next owner keeps at work after
+// the previous one, which could not stop it, had let its lease end.
+func TestNextOwnerOfOrphan(t *testing.T) {
+	s, groups := loseEntryBesideJob(0, 0)
+	s.run(600 * time.Millisecond)
+	groups[0].owner.crashed = true
+	s.machines[0].mute = false
+	s.run(200 * time.Millisecond)
+	next := s.addOwner(groups[0].machines)
+	s.deliver(next, placer.Claim{WallMs: s.now.UnixMilli(), PreviousOwnerHeardAt: groups[0].owner.orphansSince})
+	s.run(2 * time.Second)
+	s.checkNoSecondRuns(t)
+}
--- a/entry/placer/simulation_test.go
+++ b/entry/placer/simulation_test.go
@@ -15,6 +15,7 @@
 const (
 	simulatedService = "orders"
 	tickInterval     = 20 * time.Millisecond
+	pingInterval     = 150 * time.Millisecond
 	requestTimeout   = 50 * time.Millisecond
 	holdReplyTimeout = 120 * time.Millisecond
 	// holdPollInterval is the interval at which a pending hold checks for run
@@ -72,6 +73,8 @@
 	executor.Executor
 	unreachableFrom map[*owner]bool
 	mute            bool
+	// Stops to a machine that misses them don't arrive.
+	missesStops bool
 	// A machine that refuses has no process.
 	refuses bool
 	// At the address of a replaced machine, another worker responds.
@@ -85,6 +88,9 @@
 	// machines are those of its worker group.
 	machines []*machine
 	crashed  bool
+	// pingedAt is when the other entries last heard it, and orphansSince the time before
+	// which no orphan of then had lost its job.
+	pingedAt, orphansSince time.Time
 }
 
 // submittedJob is a job as seen by its caller.
@@ -207,11 +213,26 @@
 
 func (s *simulation) scheduleTick(o *owner) {
 	s.schedule(tickInterval, func(time.Time) {
+		if o.crashed {
+			return
+		}
 		s.deliver(o, placer.Tick{})
+		s.ping(o)
 		s.scheduleTick(o)
 	})
 }
 
+// ping records what the other entries hear of an owner.
+func (s *simulation) ping(o *owner) {
+	if s.now.Sub(o.pingedAt) < pingInterval {
+		return
+	}
+	o.pingedAt, o.orphansSince = s.now, s.now
+	if at := o.state.OldestOrphan(s.now); !at.IsZero() {
+		o.orphansSince = at
+	}
+}
+
 // deliver passes an event to an owner and executes the resulting effects.
 func (s *simulation) deliver(o *owner, msg placer.Msg) {
 	if o.crashed {
@@ -427,7 +448,7 @@
 
 func (s *simulation) handleStop(o *owner, cmd placer.Stop) {
 	m := s.machine(cmd.Worker)
-	if m.unreachableFrom[o] || s.random.Float64() < s.faults.lostStops {
+	if m.unreachableFrom[o] || m.missesStops || s.random.Float64() < s.faults.lostStops {
 		s.schedule(requestTimeout, func(time.Time) { s.deliver(o, placer.StopResponse{Worker: cmd.Worker, Key: cmd.Key}) })
 		return
 	}
