placer: a late run that is listed becomes the task's run, whatever its state

A task that was held back started beside a late run of it that the list showed, if the record of that run was still marked as being stopped. The run was passed over, as only running ones were matched with jobs there, while the list had settled its start. TestLateStartOfRunBeingStopped (0.6 s of overlap before).

--- a/entry/placer/orphan.go
+++ b/entry/placer/orphan.go
@@ -98,11 +98,11 @@
 		return
 	}
 	for _, r := range sortedRuns(w) {
-		if r.job != nil || r.state != running {
+		if r.job != nil {
 			continue
 		}
 		j, i := s.findTask(r.key.Task)
-		if j == nil || s.adoptOrphan(now, w, r, j, i) {
+		if j == nil || s.adoptOrphan(now, w, r, j, i) || r.state != running {
 			continue
 		}
 		if t := &j.tasks[i]; t.done || t.run != nil {
