placer: a run adopted after its late start's worker was lost is stopped, too

After a planned handover the next owner was refused by a worker, and only then learned of a job with a start without an answer there. Its run elsewhere was not stopped, since that was done once, when the worker was lost. TestLateStartOnWorkerDownAtHandover (88 ms of overlap before, or a lease).

--- a/entry/placer/owner.go
+++ b/entry/placer/owner.go
@@ -249,7 +249,6 @@
 }
 
 func (s *State) handleUnansweredHold(now time.Time, w *worker, result HoldResult) {
-	wasLost := w.lost || w.refused
 	w.unansweredHolds++
 	w.nextHoldAt = now
 	if w.unansweredHolds > 1 {
@@ -272,7 +271,7 @@
 		s.recordCrash(now, w)
 	}
 	w.refused = w.refused || result == HoldRefused
-	if !wasLost && (w.lost || w.refused) {
+	if w.lost || w.refused {
 		s.stopBesideLateStarts(now, w)
 	}
 	if w.lost && (result == HoldRefused || now.Sub(w.answeredAt) >= giveUpAfter) {
