placer: the starts of a replaced worker are forgotten before it is claimed, too

A worker whose address was served by another one held its tasks back for 15 s if it was being claimed, and had a good run stopped after a handover. TestTaskAwaitsReplacedWorker.

--- a/entry/placer/owner.go
+++ b/entry/placer/owner.go
@@ -249,6 +249,10 @@
 }
 
 func (s *State) handleUnansweredHold(now time.Time, w *worker, result HoldResult) {
+	if result == HoldWrongWorker {
+		// The worker that the starts were sent to is gone.
+		s.lateStarts.removeWorker(w)
+	}
 	w.unansweredHolds++
 	w.nextHoldAt = now
 	if w.unansweredHolds > 1 {
@@ -316,7 +320,6 @@
 	runs := sortedRuns(w)
 	w.resetRuns()
 	w.clockReadAt, w.health = time.Time{}, health{}
-	s.lateStarts.removeWorker(w)
 	for _, r := range runs {
 		s.handleRunEnd(now, w, r, EndExpired)
 	}
