placer: a late start is recorded once, however often its job is handed over

A job that moved back to an owner that still had its records added them again: 55 of them after ten handovers. TestLateStartsOfRepeatedHandovers.

--- a/entry/placer/latestart.go
+++ b/entry/placer/latestart.go
@@ -33,6 +33,11 @@
 	start.worker.lateStarts++
 }
 
+// has reports whether the start of a run on w is in the log.
+func (l *lateStartLog) has(w *worker, key RunKey) bool {
+	return slices.ContainsFunc(l.byJob[jobIDOf(key.Task)], func(start lateStart) bool { return start.worker == w && start.key == key })
+}
+
 // of returns the starts of a task that may still be executed, for the next owner.
 func (l *lateStartLog) of(now time.Time, jobID string, task int) []LateStart {
 	var list []LateStart
@@ -113,8 +118,9 @@
 func (s *State) addLateStarts(now time.Time, j *job, p Placement) {
 	for _, start := range p.LateStarts {
 		age := time.Duration(min(max(start.AgeMs, 0), lateStartPeriod.Milliseconds())) * time.Millisecond
-		if w := s.workers[start.Worker]; w != nil {
-			s.lateStarts.add(j.ID, lateStart{RunKey{j.taskName(p.Task), start.Number}, p.Task, w, now.Add(-age)})
+		key := RunKey{j.taskName(p.Task), start.Number}
+		if w := s.workers[start.Worker]; w != nil && !s.lateStarts.has(w, key) {
+			s.lateStarts.add(j.ID, lateStart{key, p.Task, w, now.Add(-age)})
 		}
 	}
 }
