placer: tasks that are held back are no load

One task that was held back made an owner report no free CPU for up to 15 s, so that no neighbour passed jobs on to it, and new jobs were refused as if it waited for resources. Only tasks that wait for resources count now.

--- a/entry/placer/bench_test.go
+++ b/entry/placer/bench_test.go
@@ -30,3 +30,30 @@
 		s.submit(s.owners[0], newJob(fmt.Sprintf("j%07d", i), tasks, cpu, work.Milliseconds()), executor.Task{CPU: cpu, Duration: work})
 	}
 }
+
+// BenchmarkWideJobWithLateStarts measures the time of one event that places waiting
+// jobs, while a job of 1,300 tasks has started as many of them as there is room for.
+func BenchmarkWideJobWithLateStarts(b *testing.B) {
+	for _, late := range []float64{0, 0.1, 0.5} {
+		b.Run(fmt.Sprintf("%v late", late), func(b *testing.B) {
+			s := newSimulation(1, 90, 1)
+			s.deliver(s.owners[0], placer.Claim{WallMs: s.now.UnixMilli()})
+			s.run(100 * time.Millisecond)
+			task := executor.Task{CPU: 4000, Duration: 3 * time.Second}
+			for i, n := range []int{800, 1300} {
+				job := newJob(fmt.Sprintf("j%04d", i), n, task.CPU, 3000)
+				job.Stretch = 100
+				s.submit(s.owners[0], job, task)
+				s.run(300 * time.Millisecond)
+				s.faults.delayedStarts = late
+			}
+			if all, waiting := s.owners[0].state.Jobs(); all != 2 || waiting != 1 {
+				b.Fatalf("%d jobs, %d of them waiting, want 2 and 1", all, waiting)
+			}
+			b.ResetTimer()
+			for range b.N {
+				s.owners[0].state.Update(s.now, placer.Tick{})
+			}
+		})
+	}
+}
--- a/entry/placer/latestart.go
+++ b/entry/placer/latestart.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -125,39 +126,30 @@
 	}
 }
 
-// isHeldBack reports whether task i of j must not be started, because a worker may still
-// execute an earlier start of it.
-func (s *State) isHeldBack(now time.Time, j *job, i int) bool {
+// heldBackTasks returns the unstarted tasks of j that must not be started, because a
+// worker may still execute an earlier start of them.
+func (s *State) heldBackTasks(now time.Time, j *job) map[int]bool {
+	var tasks map[int]bool
 	for _, start := range s.lateStarts.byJob[j.ID] {
-		if start.task == i && start.worker.mayExecute(now, start) {
-			return true
+		if start.task < len(j.tasks) && j.isUnstarted(start.task) && start.worker.mayExecute(now, start) {
+			if tasks == nil {
+				tasks = map[int]bool{}
+			}
+			tasks[start.task] = true
 		}
 	}
-	return false
+	return tasks
 }
 
-// heldBackTasks returns the number of unstarted tasks of j that must not be started.
-func (s *State) heldBackTasks(now time.Time, j *job) int {
-	if len(s.lateStarts.byJob[j.ID]) == 0 {
-		return 0
-	}
-	n := 0
-	for i := range j.tasks {
-		if j.isUnstarted(i) && s.isHeldBack(now, j, i) {
-			n++
-		}
-	}
-	return n
+// runnableTasks returns the number of tasks of j that wait for resources only.
+func (s *State) runnableTasks(now time.Time, j *job) int {
+	return j.unstartedTasks() - len(s.heldBackTasks(now, j))
 }
 
 // stopBesideLateStarts stops the runs of tasks that w may start by executing a late
-// start, now that it may have restarted. The tasks start again once w has listed its
-// runs.
+// start, while it may have restarted. The tasks start again once w has listed its runs.
 func (s *State) stopBesideLateStarts(now time.Time, w *worker) {
-	if w.lateStarts == 0 {
-		return
-	}
-	for _, j := range s.sortedJobs() {
+	for _, j := range s.jobsWithLateStarts(w) {
 		for _, start := range s.lateStarts.byJob[j.ID] {
 			if start.worker != w || start.task >= len(j.tasks) || !w.mayExecute(now, start) {
 				continue
@@ -177,3 +169,19 @@
 		}
 	}
 }
+
+// jobsWithLateStarts returns the jobs in progress with late starts on w, in a fixed
+// order.
+func (s *State) jobsWithLateStarts(w *worker) []*job {
+	if w.lateStarts == 0 {
+		return nil
+	}
+	var list []*job
+	for id, j := range s.jobs {
+		if slices.ContainsFunc(s.lateStarts.byJob[id], func(start lateStart) bool { return start.worker == w }) {
+			list = append(list, j)
+		}
+	}
+	slices.SortFunc(list, func(a, b *job) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
--- a/entry/placer/place.go
+++ b/entry/placer/place.go
@@ -69,7 +69,7 @@
 // fits is used first, which leaves larger blocks of resources for large tasks.
 func (s *State) placeJob(now time.Time, j *job, candidates []candidate) bool {
 	heldBack := s.heldBackTasks(now, j)
-	unplaced := j.unstartedTasks() - heldBack
+	unplaced := j.unstartedTasks() - len(heldBack)
 	nextTask := 0
 	for i := range candidates {
 		c := candidates[i]
@@ -78,7 +78,7 @@
 		}
 		n := min(unplaced, c.worker.startableTasks(now, j))
 		for range n {
-			for !j.isUnstarted(nextTask) || (heldBack > 0 && s.isHeldBack(now, j, nextTask)) {
+			for !j.isUnstarted(nextTask) || heldBack[nextTask] {
 				nextTask++
 			}
 			s.startRun(now, c.worker, j, nextTask)
@@ -91,7 +91,7 @@
 	if nextTask > 0 || unplaced == 0 {
 		slices.SortStableFunc(candidates, compareCandidates)
 	}
-	return unplaced+heldBack == 0
+	return unplaced+len(heldBack) == 0
 }
 
 // isUnstarted reports whether a task has to be started.
--- a/entry/placer/queue.go
+++ b/entry/placer/queue.go
@@ -46,7 +46,7 @@
 	pendingCPU := int64(j.Tasks) * j.Resources.CPU
 	for _, other := range s.waiting {
 		if precedes(other, j) {
-			pendingCPU += int64(other.unstartedTasks()) * other.Resources.CPU
+			pendingCPU += int64(s.runnableTasks(now, other)) * other.Resources.CPU
 		}
 	}
 	var releaseRate float64
--- a/entry/placer/state.go
+++ b/entry/placer/state.go
@@ -102,11 +102,13 @@
 func (s *State) HasJob(jobID string) bool { return s.jobs[jobID] != nil }
 
 // FreeCPU returns the free CPU of the workers that accept tasks without a
-// limit, in thousandths of a core, or 0 while jobs are in the queue. It leaves
-// out workers on probation, which accept one task at a time.
+// limit, in thousandths of a core, or 0 while jobs in the queue wait for them. It
+// leaves out workers on probation, which accept one task at a time.
 func (s *State) FreeCPU(now time.Time) int64 {
-	if len(s.waiting) > 0 {
-		return 0
+	for _, j := range s.waiting {
+		if s.runnableTasks(now, j) > 0 {
+			return 0
+		}
 	}
 	var sum int64
 	for _, w := range s.sortedWorkers {
--- a/entry/placer/submit.go
+++ b/entry/placer/submit.go
@@ -36,7 +36,7 @@
 		s.enqueue(j)
 		return
 	}
-	if s.heldBackTasks(now, j) > 0 {
+	if len(s.heldBackTasks(now, j)) > 0 {
 		// An earlier submission of the job has run or may still run.
 		s.log("job waits for a worker that may have restarted", map[string]any{"job": j.ID, "entry": msg.Entry})
 		j.started, j.startRequested = true, true
