placer: a task is held back as long as late holds can keep its late run at work

The clock of a restarted worker starts anew, so that each hold sent before the restart, and executed after it, renews the leases there in full. A late run could be at work behind a cut for longer than the 15 s that count from its start. They count from the last request that renewed the leases now, while the worker may have restarted.

--- a/entry/placer/latestart.go
+++ b/entry/placer/latestart.go
@@ -43,8 +43,8 @@
 func (l *lateStartLog) of(now time.Time, jobID string, task int) []LateStart {
 	var list []LateStart
 	for _, start := range l.byJob[jobID] {
-		if age := now.Sub(start.sentAt); start.task == task && age <= lateStartPeriod {
-			list = append(list, LateStart{Worker: start.worker.ID, Number: start.key.Number, AgeMs: age.Milliseconds()})
+		if start.task == task && !start.expired(now) {
+			list = append(list, LateStart{Worker: start.worker.ID, Number: start.key.Number, AgeMs: now.Sub(start.sentAt).Milliseconds()})
 		}
 	}
 	return list
@@ -74,7 +74,7 @@
 		return
 	}
 	l.prunedAt = now
-	l.remove(func(start lateStart) bool { return now.Sub(start.sentAt) > lateStartPeriod })
+	l.remove(func(start lateStart) bool { return start.expired(now) })
 }
 
 // removeWorker removes the starts that were sent to w.
@@ -111,7 +111,18 @@
 // mayExecute reports whether w may still execute a start without an answer: it has not
 // confirmed yet that the run is stopped, or may have forgotten it in a restart.
 func (w *worker) mayExecute(now time.Time, start lateStart) bool {
-	return now.Sub(start.sentAt) <= lateStartPeriod && (w.phase != owned || w.mayHaveRestarted() || w.runs[start.key] != nil)
+	return !start.expired(now) && (w.phase != owned || w.mayHaveRestarted() || w.runs[start.key] != nil)
+}
+
+// expired reports whether neither the start nor its run can be in progress any more. On
+// a worker that has restarted, whose clock starts anew, holds that are executed late
+// renew the lease of the run.
+func (start lateStart) expired(now time.Time) bool {
+	last := start.sentAt
+	if w := start.worker; (w.phase != owned || w.mayHaveRestarted()) && w.renewedAt.After(last) {
+		last = w.renewedAt
+	}
+	return now.Sub(last) > lateStartPeriod
 }
 
 // addLateStarts adds the starts of a previous owner. A worker that this owner doesn't
