placer: late starts on workers that the next owner does not know hold tasks back

After a change of the worker groups the next owner of a job may not own the worker that a late start of it was sent to. The record was dropped, and the task started beside the late run. The worker now counts as one that may have restarted until the start is too old. The cost: a task with an unanswered start waits up to 15 s if it has to be started again after such a change.

--- a/entry/placer/latestart.go
+++ b/entry/placer/latestart.go
@@ -34,9 +34,9 @@
 	start.worker.lateStarts++
 }
 
-// has reports whether the start of a run on w is in the log.
-func (l *lateStartLog) has(w *worker, key RunKey) bool {
-	return slices.ContainsFunc(l.byJob[jobIDOf(key.Task)], func(start lateStart) bool { return start.worker == w && start.key == key })
+// has reports whether the start of a run on a worker is in the log.
+func (l *lateStartLog) has(worker string, key RunKey) bool {
+	return slices.ContainsFunc(l.byJob[jobIDOf(key.Task)], func(start lateStart) bool { return start.worker.ID == worker && start.key == key })
 }
 
 // of returns the starts of a task that may still be executed, for the next owner.
@@ -126,14 +126,20 @@
 }
 
 // addLateStarts adds the starts of a previous owner. A worker that this owner doesn't
-// know can't be watched for a restart.
+// know, because it left or belongs to another group by now, can't be watched for a
+// restart, and counts as one that may restart at any time.
 func (s *State) addLateStarts(now time.Time, j *job, p Placement) {
 	for _, start := range p.LateStarts {
 		age := time.Duration(min(max(start.AgeMs, 0), lateStartPeriod.Milliseconds())) * time.Millisecond
 		key := RunKey{j.taskName(p.Task), start.Number}
-		if w := s.workers[start.Worker]; w != nil && !s.lateStarts.has(w, key) {
-			s.lateStarts.add(j.ID, lateStart{key, p.Task, w, now.Add(-age)})
+		if s.lateStarts.has(start.Worker, key) {
+			continue
 		}
+		w := s.workers[start.Worker]
+		if w == nil {
+			w = newWorker(Worker{ID: start.Worker})
+		}
+		s.lateStarts.add(j.ID, lateStart{key, p.Task, w, now.Add(-age)})
 	}
 }
 
