placer: a cancelled job has a result of its own

Cause: an owner ended a cancelled job with an error. If something of it was started, the caller's entry answered 502, upon which the platform sends the same id again. If nothing was, the error said so, and the entry offered the job to another worker group as one that was refused.

Change: a job that its caller cancelled ends with Result.Cancelled. A job whose caller has disconnected ends as before.

TestCancelledJobsEnd now also checks the result of each cancelled job; that it was offered to another group is by reading.

--- a/entry/placer/message.go
+++ b/entry/placer/message.go
@@ -208,11 +208,13 @@
 func (Count) isCmd()           {}
 func (Log) isCmd()             {}
 
-// Result is the outcome of a job. Exactly one of Completed, Failed, Moved and
-// Err is set.
+// Result is the outcome of a job. Exactly one of Completed, Failed, Cancelled, Moved
+// and Err is set.
 type Result struct {
-	Completed bool             `json:"completed,omitempty"`
-	Failed    bool             `json:"failed,omitempty"`
+	Completed bool `json:"completed,omitempty"`
+	Failed    bool `json:"failed,omitempty"`
+	// Cancelled is set if the caller cancelled the job.
+	Cancelled bool             `json:"cancelled,omitempty"`
 	Moved     bool             `json:"moved,omitempty"`
 	Err       *messenger.Error `json:"error,omitempty"`
 	// Placements lists the runs of a moved job.
@@ -226,6 +228,8 @@
 		return "completed"
 	case r.Failed:
 		return "failed"
+	case r.Cancelled:
+		return "cancelled"
 	case r.Moved:
 		return "moved"
 	case r.Err != nil:
--- a/entry/placer/rules_test.go
+++ b/entry/placer/rules_test.go
@@ -91,7 +91,13 @@
 	}
 	s.run(120 * time.Millisecond)
 	for i := range 60 {
-		s.deliver(s.owners[0], placer.Cancel{JobID: fmt.Sprintf("j%04d", i)})
+		j := s.jobs[fmt.Sprintf("j%04d", i)]
+		answered := len(j.answers) > 0
+		s.deliver(s.owners[0], placer.Cancel{JobID: j.job.ID})
+		// A job that counts as refused would be offered to another worker group.
+		if !answered && (len(j.answers) != 1 || !j.answers[0].Cancelled) {
+			t.Errorf("job %s: answers %+v, want that it was cancelled", j.job.ID, j.answers)
+		}
 	}
 	s.run(10 * time.Millisecond)
 	started := s.startedRuns
--- a/entry/placer/submit.go
+++ b/entry/placer/submit.go
@@ -237,7 +237,11 @@
 		return
 	}
 	s.log("job cancelled", map[string]any{"job": j.ID, "offered": j.startRequested, "ageMs": now.Sub(j.submittedAt).Milliseconds()})
-	s.failJob(now, j, messenger.Cancelled, "the caller cancelled the job or disconnected")
+	if msg.Waiter == 0 {
+		s.finishJob(now, j, Result{Cancelled: true})
+		return
+	}
+	s.failJob(now, j, messenger.Cancelled, "the caller disconnected")
 }
 
 // handleEntryLost fails the jobs of an entry that no longer pings this owner.
