relayer: a cancelling reaches the job at any owner and at its caller's entry

Cause: an entry that received a cancelling asked the owner of its own worker group, and took "not known there" for "no such job". The entry that holds the job's request was not told, so that it could hand the job to the next owner.

Change: the owners of all worker groups are told, each of which ends the job and names the entry that holds its request; that one is told too and ends it for good. Each of them remembers the id for 30 s, and answers a job that comes with it as cancelled. 410 only if each owner in reach says that it would know the job; if one does not answer, or claimed its workers less than a second ago, 503. What decides and remembers is in entry/canceller, with the time as an argument.

--- a/entry/placer/state.go
+++ b/entry/placer/state.go
@@ -101,6 +101,14 @@
 // HasJob reports whether a job is in progress on this entry.
 func (s *State) HasJob(jobID string) bool { return s.jobs[jobID] != nil }
 
+// EntryOfJob returns the entry that submitted a job in progress, and whether it is.
+func (s *State) EntryOfJob(jobID string) (string, bool) {
+	if j := s.jobs[jobID]; j != nil {
+		return j.entry, true
+	}
+	return "", false
+}
+
 // FreeCPU returns the free CPU of the workers that accept tasks without a
 // limit, in thousandths of a core, or 0 while jobs in the queue wait for them. It
 // leaves out workers on probation, which accept one task at a time.
--- a/entry/relayer/peer.go
+++ b/entry/relayer/peer.go
@@ -174,9 +174,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /peer/v1/beat", r.serveHeartbeat)
 	mux.HandleFunc("POST /peer/v1/jobs", r.serveJob)
-	mux.HandleFunc("DELETE /peer/v1/jobs/{id}", func(w http.ResponseWriter, req *http.Request) {
-		messenger.WriteJSON(w, http.StatusOK, r.cancelLocally(req.PathValue("id")))
-	})
+	mux.HandleFunc("DELETE /peer/v1/jobs/{id}", r.serveCancel)
 	mux.HandleFunc("GET /peer/v1/configuration", func(w http.ResponseWriter, _ *http.Request) {
 		messenger.WriteJSON(w, http.StatusOK, r.configuration.Load())
 	})
--- a/entry/relayer/relayer.go
+++ b/entry/relayer/relayer.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
+	"github.com/godwitrelay/godwitrelay/entry/canceller"
 	"github.com/godwitrelay/godwitrelay/entry/confirmer"
 	"github.com/godwitrelay/godwitrelay/entry/elector"
 	"github.com/godwitrelay/godwitrelay/entry/exporter"
@@ -98,6 +99,12 @@
 	forceStop  chan struct{}
 	waiters    sync.Map
 	lastWaiter atomic.Uint64
+	// cancellings holds the cancelled jobs that this entry knows of, and held the
+	// requests of callers that it holds.
+	cancellings canceller.State
+	held        heldRequests
+	// claimedAt is when this entry last became the owner. Only the event loop uses it.
+	claimedAt time.Time
 
 	configuration atomic.Pointer[router.Configuration]
 	// confirmations holds when the active configuration was last known to be the
@@ -310,6 +317,10 @@
 			// has been handled already.
 			return
 		}
+		if r.cancellings.Found(now, msg.Job.ID, msg.Entry) {
+			r.runPlacerCmd(now, placer.Answer{Waiter: msg.Waiter, Result: placer.Result{Cancelled: true}})
+			return
+		}
 		r.updatePlacer(now, msg)
 	case placer.Msg:
 		r.updatePlacer(now, msg)
@@ -321,7 +332,7 @@
 			r.runElectorCmd(now, cmd)
 		}
 	case cancelRequest:
-		r.handle(now, r.cancelMsg(msg))
+		msg.reply <- r.learnCancelling(now, now, msg.jobID)
 	}
 }
 
@@ -386,6 +397,9 @@
 		go r.ping(cmd.Address)
 	case elector.Claim:
 		r.Log.WithFields(logrus.Fields{"heard": cmd.Heard, "known": cmd.Known, "contested": cmd.Contested}).Info("elector: claiming ownership of the workers")
+		if !r.placer.IsOwner() {
+			r.claimedAt = now
+		}
 		r.handle(now, placer.Claim{
 			WallMs: cmd.WallMs, HighestKnownFence: r.fence.Load(), Contested: cmd.Contested, PreviousOwnerHeardAt: cmd.PreviousOwnerHeardAt,
 		})
--- a/entry/relayer/submit.go
+++ b/entry/relayer/submit.go
@@ -63,15 +63,29 @@
 func (r *Relayer) submit(ctx context.Context, job placer.Job) placer.Result {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	go func() {
 		select {
 		case <-r.forceStop:
-			cancel()
+			cancel(nil)
 		case <-ctx.Done():
 		}
 	}()
+	defer r.held.add(job.ID, cancel)()
+	if r.cancellings.Found(time.Now(), job.ID, r.Self.Address) {
+		return placer.Result{Cancelled: true}
+	}
+	result := r.submitUntilEnded(ctx, job)
+	if errors.Is(context.Cause(ctx), errJobCancelled) && result.Err != nil {
+		return placer.Result{Cancelled: true}
+	}
+	return result
+}
+
+// submitUntilEnded submits a job to the owner, and to the next owner if that one is
+// lost, until it ends or ctx does.
+func (r *Relayer) submitUntilEnded(ctx context.Context, job placer.Job) placer.Result {
 	began := time.Now()
 	deadline := began.Add(time.Duration(job.RemainingMs) * time.Millisecond)
 	retryUntil := began.Add(ownerWait(job))
