relayer: owners that cannot tell are asked again for a cancelled job

Cause: while an owner is replaced, the entry that receives a cancelling knows no owner, calls the one that was lost, or asks a new one that has not got the job back yet. The job was recovered by the next owner and ran to its end.

Change: the owners are told again every 0.15 s, until one knows the job, all say that they would know it, or 3 s have passed, which is below the 4 s in which the platform expects an answer. The entry of the caller does so too after it has answered, since a connection to its owner may be silent.

--- a/entry/relayer/cancel.go
+++ b/entry/relayer/cancel.go
@@ -14,6 +14,15 @@
 	"github.com/godwitrelay/godwitrelay/entry/placer"
 )
 
+const (
+	// cancelTimeout limits how long owners are asked for a cancelled job. The platform
+	// expects an answer within 4 s. Replacing a lost owner takes up to 0.75 s, after
+	// which it needs a second to learn of its jobs.
+	cancelTimeout = 3 * time.Second
+	// cancelInterval is the interval at which owners are asked again.
+	cancelInterval = 150 * time.Millisecond
+)
+
 // errJobCancelled ends the request for a job that was cancelled.
 var errJobCancelled = errors.New("the job was cancelled")
 
@@ -59,7 +68,8 @@
 
 // Cancel cancels a job at the request of its caller. It tells the owners of all worker
 // groups, since any of them may have the job or get it later, and the entry that holds
-// the job, so that it does not hand the job to another owner.
+// the job, so that it does not hand the job to another owner. The owners are asked again
+// while one of them cannot tell, until cancelTimeout.
 func (r *Relayer) Cancel(ctx context.Context, jobID string) canceller.Outcome {
 	// The cancelling stands even if its sender disconnects.
 	ctx = context.WithoutCancel(ctx)
@@ -67,15 +77,27 @@
 	r.cancellings.Add(now, now, jobID)
 	if r.held.cancel(jobID) {
 		// The job ends at its owner with the connection, unless that is silent.
-		go r.tellOnce(ctx, jobID)
+		go r.tellUntilDecided(ctx, jobID)
 		return canceller.Cancelled
 	}
-	return r.tellOnce(ctx, jobID)
+	return r.tellUntilDecided(ctx, jobID)
 }
 
-func (r *Relayer) tellOnce(ctx context.Context, jobID string) canceller.Outcome {
-	replies := r.tellOwners(ctx, jobID)
-	return canceller.Decide(replies, r.endAtCallerEntry(ctx, jobID, replies), true)
+func (r *Relayer) tellUntilDecided(ctx context.Context, jobID string) canceller.Outcome {
+	deadline := time.Now().Add(cancelTimeout)
+	for {
+		replies := r.tellOwners(ctx, jobID)
+		ended := r.endAtCallerEntry(ctx, jobID, replies)
+		last := time.Until(deadline) < cancelInterval+peerTimeout
+		outcome := canceller.Decide(replies, ended, last)
+		if outcome == canceller.Undecided && last {
+			r.Log.WithField("job", jobID).WithField("owner", r.ownership.Load().address).Warn("relayer: no owner could tell whether a cancelled job exists")
+		}
+		if outcome != canceller.Undecided || last {
+			return outcome
+		}
+		time.Sleep(cancelInterval)
+	}
 }
 
 // tellOwners tells the owners of all worker groups of a cancelling and returns the
