relayer: new owners learn of the cancellings that their predecessors were told

Cause: a cancelled id is remembered by the owners that were told. The next owner lacks it, so that a job ran again if it was sent again after a change of owner, which is within the time for which a cancelling is remembered.

Change: when an entry has a new owner, it hands on what it remembers, with its age. Owners do the same for the owner of another group that is new, or that was out of reach for over a second.

--- a/entry/relayer/cancel.go
+++ b/entry/relayer/cancel.go
@@ -21,6 +21,9 @@
 	cancelTimeout = 3 * time.Second
 	// cancelInterval is the interval at which owners are asked again.
 	cancelInterval = 150 * time.Millisecond
+	// handOnAttempts is how often an entry tries to tell a new owner of the cancellings
+	// that it knows.
+	handOnAttempts = 3
 )
 
 // errJobCancelled ends the request for a job that was cancelled.
@@ -206,6 +209,27 @@
 	return canceller.Reply{Known: known, CallerEntry: entry, Settled: r.placer.IsOwner() && canceller.Settled(now, r.claimedAt)}
 }
 
+// handOnCancellings tells a new owner of the cancellings that this entry knows, since
+// it lacks those that its predecessor was told.
+func (r *Relayer) handOnCancellings(now time.Time, address string) {
+	list := r.cancellings.List(now)
+	if len(list) == 0 || address == "" || address == r.Self.Address {
+		return
+	}
+	go func() {
+		for range handOnAttempts {
+			ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+			status, err := r.Peers.Call(ctx, http.MethodPost, "http://"+address+"/peer/v1/cancellings", list, nil)
+			cancel()
+			if err == nil && status == http.StatusOK {
+				return
+			}
+			r.Log.WithField("owner", address).WithField("status", status).WithError(err).Warn("relayer: handing cancellings on to a new owner failed")
+			time.Sleep(cancelInterval)
+		}
+	}()
+}
+
 func (r *Relayer) serveCancel(w http.ResponseWriter, req *http.Request) {
 	reply, err := r.cancelLocally(req.Context(), req.PathValue("id"))
 	if err != nil {
@@ -215,3 +239,10 @@
 	}
 	messenger.WriteJSON(w, http.StatusOK, reply)
 }
+
+func (r *Relayer) serveCancellings(w http.ResponseWriter, req *http.Request) {
+	var list []canceller.Cancelling
+	if decode(w, req, &list) {
+		r.post(list)
+	}
+}
--- a/entry/relayer/fuzz_test.go
+++ b/entry/relayer/fuzz_test.go
@@ -76,7 +76,9 @@
 	} {
 		f.Add("/peer/v1/jobs", body)
 		f.Add("/peer/v1/beat", body)
+		f.Add("/peer/v1/cancellings", body)
 	}
+	f.Add("/peer/v1/cancellings", `[{"jobId":"","ageMs":-9223372036854775808},{"jobId":"a","ageMs":9223372036854775807},{"jobId":"a"},{}]`)
 	f.Add("/peer/v1/workers?author=-1&version=x", "")
 	r := startEntry(f, 400)
 	f.Fuzz(func(t *testing.T, path, body string) {
--- a/entry/relayer/neighbour.go
+++ b/entry/relayer/neighbour.go
@@ -64,9 +64,12 @@
 	case b.View.Group != group.Name():
 		if b.View.ClaimedAtMs != 0 {
 			// The sender is the owner of its group.
-			r.neighbours.Record(now, spiller.Neighbour{
+			back := r.neighbours.Record(now, spiller.Neighbour{
 				Group: b.View.Group, FailureDomain: b.View.From.FailureDomain, Parts: b.Layout.Parts, Owner: address, FreeCPU: b.FreeCPU,
 			})
+			if back && r.IsOwner() {
+				r.handOnCancellings(now, address)
+			}
 		} else if b.View.Owner != "" && r.IsOwner() {
 			go r.ping(b.View.Owner)
 		}
--- a/entry/relayer/peer.go
+++ b/entry/relayer/peer.go
@@ -175,6 +175,7 @@
 	mux.HandleFunc("POST /peer/v1/beat", r.serveHeartbeat)
 	mux.HandleFunc("POST /peer/v1/jobs", r.serveJob)
 	mux.HandleFunc("DELETE /peer/v1/jobs/{id}", r.serveCancel)
+	mux.HandleFunc("POST /peer/v1/cancellings", r.serveCancellings)
 	mux.HandleFunc("GET /peer/v1/configuration", func(w http.ResponseWriter, _ *http.Request) {
 		messenger.WriteJSON(w, http.StatusOK, r.configuration.Load())
 	})
--- a/entry/relayer/relayer.go
+++ b/entry/relayer/relayer.go
@@ -333,6 +333,10 @@
 		}
 	case cancelRequest:
 		msg.reply <- r.learnCancelling(now, now, msg.jobID)
+	case []canceller.Cancelling:
+		for _, c := range msg {
+			r.learnCancelling(now, c.At(now), c.JobID)
+		}
 	}
 }
 
@@ -415,6 +419,7 @@
 		r.Log.WithFields(logrus.Fields{"owner": cmd.Address, "before": cmd.Previous, "reason": cmd.Reason}).Info("elector: owner changed")
 		old := r.ownership.Swap(&ownership{address: cmd.Address, changed: make(chan struct{})})
 		close(old.changed)
+		r.handOnCancellings(now, cmd.Address)
 	}
 }
 
--- a/entry/spiller/spiller.go
+++ b/entry/spiller/spiller.go
@@ -54,17 +54,21 @@
 }
 
 // Record stores a report about a neighbour unless it is no newer than the
-// stored one.
-func (s *State) Record(now time.Time, n Neighbour) {
+// stored one. It reports whether the group is back in reach by it: its owner is new, or
+// was silent for longer than maxReportAge.
+func (s *State) Record(now time.Time, n Neighbour) (back bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.records == nil {
 		s.records = map[string]record{}
 	}
 	at := now.Add(-time.Duration(n.AgeMs) * time.Millisecond)
-	if old, ok := s.records[n.Group]; !ok || at.After(old.measuredAt) {
-		s.records[n.Group] = record{n, at}
+	old, ok := s.records[n.Group]
+	if ok && !at.After(old.measuredAt) {
+		return false
 	}
+	s.records[n.Group] = record{n, at}
+	return n.Owner != old.Owner || at.Sub(old.measuredAt) > maxReportAge
 }
 
 // Deduct subtracts the CPU of a job sent to a neighbour from its recorded free
--- a/entry/spiller/spiller_test.go
+++ b/entry/spiller/spiller_test.go
@@ -21,6 +21,28 @@
 	}
 }
 
+// TestRecord guards against a group that comes back into reach unnoticed.
+func TestRecord(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	for name, c := range map[string]struct {
+		after time.Duration
+		n     spiller.Neighbour
+		want  bool
+	}{
+		"next report":       {300 * time.Millisecond, spiller.Neighbour{Group: "patan", Owner: "a"}, false},
+		"older report":      {300 * time.Millisecond, spiller.Neighbour{Group: "patan", Owner: "c", AgeMs: 400}, false},
+		"new owner":         {300 * time.Millisecond, spiller.Neighbour{Group: "patan", Owner: "c"}, true},
+		"new group":         {300 * time.Millisecond, spiller.Neighbour{Group: "thimi", Owner: "d"}, true},
+		"after its silence": {1100 * time.Millisecond, spiller.Neighbour{Group: "patan", Owner: "a"}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := newState(now).Record(now.Add(c.after), c.n); got != c.want {
+				t.Errorf("back in reach: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 // TestChoose guards against sending jobs to a failure domain without enough
 // free CPU for them or without recent reports.
 func TestChoose(t *testing.T) {
