relayer: an owner drops a job of an entry that has closed the connection

The same look at the connection as for callers. Submissions that are read before the end of their connection has arrived are started still.

--- a/entry/relayer/peer.go
+++ b/entry/relayer/peer.go
@@ -222,6 +222,11 @@
 		messenger.WriteJSON(w, refusal.Status(), refusal)
 		return
 	}
+	if messenger.ClientGone(req.Context()) {
+		// A submission that was held up on the way. Its entry has given it up.
+		r.Log.WithField("job", s.Job.ID).WithField("entry", s.Entry).Info("relayer: dropping a job of an entry that has closed the connection")
+		return
+	}
 	if !r.catchUp(s.Entry, s.Job.ConfigVersion) && len(s.Placements) == 0 {
 		messenger.WriteJSON(w, http.StatusOK, placer.Result{Err: messenger.NewError(messenger.NoTarget, "the owner lacks the configuration of the job")})
 		return
