--- a/entry/placer/groups_test.go
+++ b/entry/placer/groups_test.go
@@ -134,6 +134,19 @@
 	}
 }
 
+// TestLateHoldBesideOrphan guards against a run that outlives its job because a hold that
+// got no answer is executed late, with a lease that counts from its arrival.
+func TestLateHoldBesideOrphan(t *testing.T) {
+	s, groups := loseEntryBesideJob(20*time.Millisecond, 0)
+	fence := groups[0].owner.state.Fence()
+	s.schedule(time.Second, func(now time.Time) {
+		m := s.machines[0]
+		m.Hold(now, m.ClockMs(now)+1000, fence, 0)
+	})
+	s.run(2 * time.Second)
+	s.checkNoSecondRuns(t)
+}
+
 // TestNextOwnerOfOrphan guards against a run that the next owner keeps at work after
 // the previous one, which could not stop it, had let its lease end.
 func TestNextOwnerOfOrphan(t *testing.T) {
