forwarder: partitions of one pair can end alone

Heal ends all faults at once, so overlapping partitions were cut short by the first one that ended. Restore ends those between two processes.

--- a/proof/forwarder/forwarder_test.go
+++ b/proof/forwarder/forwarder_test.go
@@ -109,6 +109,19 @@
 	expectError(t, <-done, false)
 }
 
+// TestRestore guards against a restored pair that stays blocked in one direction,
+// and against ending the partitions of other pairs.
+func TestRestore(t *testing.T) {
+	f := newFixture(t)
+	f.network.Partition("a", "b")
+	f.network.Partition("a", "c")
+	f.network.Restore("b", "a")
+	expectError(t, f.post(t.Context(), "/"), false)
+	if f.network.HasFault("a", "b") || !f.network.HasFault("a", "c") {
+		t.Error("want a partition between a and c only")
+	}
+}
+
 // TestOwner guards against attributing a connection to the wrong process, which
 // would apply a partition to the wrong pair of processes.
 func TestOwner(t *testing.T) {
--- a/proof/forwarder/network.go
+++ b/proof/forwarder/network.go
@@ -105,6 +105,11 @@
 	n.update(func() { n.blocked[flow{from, to}] = true })
 }
 
+// Restore ends the partition between a and b, in both directions.
+func (n *Network) Restore(a, b string) {
+	n.update(func() { delete(n.blocked, flow{a, b}); delete(n.blocked, flow{b, a}) })
+}
+
 // Heal removes all partitions, delays and drop rules.
 func (n *Network) Heal() {
 	n.update(func() { clear(n.blocked); clear(n.delays); clear(n.dropRules) })
