fleet: holds and stops can take effect late, and a trace of what workers did

Only starts could take effect after their client had given up; PROTOCOL.md says so of every call. A hold that is carried out late keeps the lease that it names, and the ends that it acknowledges are forgotten, also in a later life of its worker. Work can take longer than its job states, as on a slow worker: tasks that end within the 1.2 s of the soak's callers never overlap with the job's next submission 1.3 s later, unless they start late. EntrySettings replaces Settings, whose fields besides the zone and the CPU share are as before.

--- a/standin/fleet/listener/caller.go
+++ b/standin/fleet/listener/caller.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 )
@@ -25,17 +26,23 @@
 	spec, _ := json.Marshal(work)
 	body, _ := json.Marshal(map[string]any{
 		"Spec": string(spec), "Opportunistic": true,
-		"Steps": []map[string]any{{"Count": n, "Cpu": work.CPU, "MemMb": 64, "EstimateMs": work.WorkMs}},
+		"Steps": []map[string]any{{"Count": n, "Cpu": work.CPU, "MemMb": 64, "EstimateMs": cmp.Or(work.EstimateMs, work.WorkMs)}},
 	})
 	return string(body)
 }
 
-// Settings returns the platform's settings file for an entry. ip is the IP
-// address of the entry, seed that of another entry, and store the address of the
-// store.
-func Settings(name, ip, seed, store string) string {
+// EntrySettings are the fields of the platform's settings file of an entry. IP is
+// its IP address, Seed that of another entry, and Store the address of the store.
+type EntrySettings struct {
+	Name, Zone, IP, Seed, Store string
+	// CPUShare is the entry's share of a CPU core, or 0 if it is not stated.
+	CPUShare float64
+}
+
+// File returns the contents of the settings file.
+func (s EntrySettings) File() string {
 	return fmt.Sprintf(`NodeName = %q
-Zone = "patan"
+Zone = %q
 Ip = %q
 PortRange = [7720, 7735]
 Seeds = ["%s:8166"]
@@ -43,8 +50,9 @@
 Front = "%s:8161"
 ReadyAddr = "%s:8167"
 [Limits]
+CpuShare = %g
 MemoryMb = 200
 [platform]
 Address = %q
-`, name, ip, seed, ip, ip, store)
+`, s.Name, s.Zone, s.IP, s.Seed, s.IP, s.IP, s.CPUShare, s.Store)
 }
--- a/standin/fleet/listener/fleet.go
+++ b/standin/fleet/listener/fleet.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand"
 	"net/http"
 	"strconv"
@@ -23,13 +24,15 @@
 type Work struct {
 	CPU    int64 `json:"cpu"`
 	WorkMs int64 `json:"workMs"`
-	Fails  bool  `json:"fails,omitempty"`
-	Hangs  bool  `json:"hangs,omitempty"`
+	// EstimateMs is the run time that the job states, or 0 if that is WorkMs.
+	EstimateMs int64 `json:"estimateMs,omitempty"`
+	Fails      bool  `json:"fails,omitempty"`
+	Hangs      bool  `json:"hangs,omitempty"`
 	// Crashes makes the task restart its worker after WorkMs.
 	Crashes bool `json:"crashes,omitempty"`
 }
 
-// Faults sets the faults of start requests. Each start has at most one fault.
+// Faults sets the faults of requests to workers. Each request has at most one.
 type Faults struct {
 	// DelayedProbability is the probability, from 0 to 1, that a start gets no
 	// response and takes effect only after DelayMs.
@@ -38,10 +41,23 @@
 	// NoReplyProbability is the probability, from 0 to 1, that a start takes
 	// effect at once but gets no response.
 	NoReplyProbability float64 `json:"mute"`
+	// DelayedHoldProbability and DelayedStopProbability are the probabilities, from
+	// 0 to 1, that a hold or a stop gets no response and takes effect only after
+	// DelayMs.
+	DelayedHoldProbability float64 `json:"lateHolds"`
+	DelayedStopProbability float64 `json:"lateStops"`
 }
 
+// TimeFormat is the format of times in [Fleet.Trace], which is that of the entries'
+// logs.
+const TimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Fleet is a set of workers. The zero value is an empty fleet.
 type Fleet struct {
+	// Trace receives a line for each request that takes effect at a worker, unless
+	// it is nil. It must not be changed after the first request.
+	Trace io.Writer
+
 	mu         sync.Mutex
 	workers    []*Worker
 	faults     Faults
@@ -126,6 +142,7 @@
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
 	w.Executor.Restart(time.Now())
+	w.tracef("restarts")
 }
 
 // SetUnresponsive sets whether the worker leaves requests without a response.
@@ -218,6 +235,7 @@
 	reason = w.Start(now, key, executor.Task{
 		CPU: work.CPU, Duration: time.Duration(work.WorkMs) * time.Millisecond, Fails: work.Fails, Hangs: work.Hangs || work.Crashes,
 	}, req.UntilMs, req.FencingToken)
+	w.tracef("start of %s run %d, fence %d, lease %+d ms: %q", req.Task, req.RunID, req.FencingToken, req.UntilMs-w.ClockMs(now), reason)
 	if reason == "" && len(w.Runs(now)) > before {
 		f.started++
 		w.started++
@@ -246,38 +264,73 @@
 	}
 }
 
-func (w *Worker) stop(out http.ResponseWriter, _ *http.Request, req workerRequest) {
+func (w *Worker) stop(out http.ResponseWriter, r *http.Request, req workerRequest) {
+	if w.delay(r, func(f Faults) float64 { return f.DelayedStopProbability }, func() { w.stopRun(req) }) {
+		return
+	}
+	status := http.StatusOK
+	ok, clock := w.stopRun(req)
+	if !ok {
+		status = http.StatusConflict
+	}
+	writeJSON(out, status, map[string]any{"ClockMs": clock})
+}
+
+// stopRun stops a run. It returns false if the fencing token is too low, and the
+// worker's clock.
+func (w *Worker) stopRun(req workerRequest) (ok bool, clockMs int64) {
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
 	now := time.Now()
-	status := http.StatusOK
-	if !w.Stop(now, executor.Key{Task: req.Task, Number: req.RunID}, req.FencingToken) {
-		status = http.StatusConflict
+	ok = w.Stop(now, executor.Key{Task: req.Task, Number: req.RunID}, req.FencingToken)
+	w.tracef("stop of %s run %d, fence %d: %v", req.Task, req.RunID, req.FencingToken, ok)
+	return ok, w.ClockMs(now)
+}
+
+// delay reports whether a request is delayed. If so, it schedules the effect and
+// returns once the client has given up.
+func (w *Worker) delay(r *http.Request, probability func(Faults) float64, effect func()) bool {
+	f := w.fleet
+	f.mu.Lock()
+	p, ms := probability(f.faults), f.faults.DelayMs
+	// The other faults should not depend on how many holds and stops there are.
+	delayed := p > 0 && f.random.Float64() < p
+	f.mu.Unlock()
+	if !delayed {
+		return false
+	}
+	time.AfterFunc(time.Duration(ms)*time.Millisecond, effect)
+	<-r.Context().Done()
+	return true
+}
+
+// tracef writes a line to the trace. The caller holds the fleet's mutex.
+func (w *Worker) tracef(format string, args ...any) {
+	if w.fleet.Trace != nil {
+		// Ignore write errors: the trace is only for people to read.
+		_, _ = fmt.Fprintf(w.fleet.Trace, time.Now().Format(TimeFormat)+" "+w.ID+" "+format+"\n", args...)
 	}
-	writeJSON(out, status, map[string]any{"ClockMs": w.ClockMs(now)})
 }
 
 // holdPollInterval is how often a waiting hold checks for ended runs.
 const holdPollInterval = 2 * time.Millisecond
 
 func (w *Worker) hold(out http.ResponseWriter, r *http.Request, req workerRequest) {
+	if w.delay(r, func(f Faults) float64 { return f.DelayedHoldProbability }, func() { w.holdRuns(req) }) {
+		return
+	}
 	end := time.Now().Add(time.Duration(req.WaitMs) * time.Millisecond)
-	until := req.UntilMs
 	for {
-		w.fleet.mu.Lock()
-		now := time.Now()
-		runs, ends, ok := w.Hold(now, until, req.FencingToken, req.LastSeen)
-		body := map[string]any{"ClockMs": w.ClockMs(now), "born": w.StartedAt.UnixMilli(), "Running": runRows(now, runs), "EndedRuns": endRows(ends)}
-		w.fleet.mu.Unlock()
-		until = 0
+		body, ended, ok := w.holdRuns(req)
 		switch {
 		case !ok:
 			writeJSON(out, http.StatusConflict, map[string]any{"Reason": "fence"})
 			return
-		case len(ends) > 0 || !now.Before(end):
+		case ended || !time.Now().Before(end):
 			writeJSON(out, http.StatusOK, body)
 			return
 		}
+		req.UntilMs = 0
 		select {
 		case <-time.After(holdPollInterval):
 		case <-r.Context().Done():
@@ -286,6 +339,21 @@
 	}
 }
 
+// holdRuns extends the lease, unless the request's UntilMs is 0. It returns the
+// response and whether the response lists ends. ok is false if the fencing token
+// is too low.
+func (w *Worker) holdRuns(req workerRequest) (body map[string]any, ended, ok bool) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	now := time.Now()
+	runs, ends, ok := w.Hold(now, req.UntilMs, req.FencingToken, req.LastSeen)
+	rows, endedRows := runRows(now, runs), endRows(ends)
+	if req.UntilMs > 0 || len(ends) > 0 {
+		w.tracef("hold, fence %d, lease %+d ms: %v, runs %v, ends %v", req.FencingToken, req.UntilMs-w.ClockMs(now), ok, rows, endedRows)
+	}
+	return map[string]any{"ClockMs": w.ClockMs(now), "born": w.StartedAt.UnixMilli(), "Running": rows, "EndedRuns": endedRows}, len(ends) > 0, ok
+}
+
 func runRows(now time.Time, runs []executor.Run) [][]any {
 	rows := [][]any{}
 	for _, r := range runs {
