--- a/standin/fleet/listener/fleet.go
+++ b/standin/fleet/listener/fleet.go
@@ -257,8 +257,10 @@
 	for _, w := range f.workers {
 		for _, r := range w.Runs(now) {
 			if r.Key.Task == key.Task && (w != started || r.Key != key) {
-				f.violations = append(f.violations, "task "+key.Task+" runs on "+started.ID+" (run "+strconv.FormatInt(key.Number, 10)+
-					") and "+w.ID+" (run "+strconv.FormatInt(r.Key.Number, 10)+")")
+				violation := "task " + key.Task + " runs on " + started.ID + " (run " + strconv.FormatInt(key.Number, 10) +
+					") and " + w.ID + " (run " + strconv.FormatInt(r.Key.Number, 10) + ")"
+				f.violations = append(f.violations, violation)
+				started.tracef("%s", violation)
 			}
 		}
 	}
