--- a/entry/placer/latestart_test.go
+++ b/entry/placer/latestart_test.go
@@ -91,7 +91,10 @@
 func sweepLateStarts(t *testing.T, check func(t *testing.T, after time.Duration)) {
 	t.Helper()
 	for after := time.Millisecond; after < 200*time.Millisecond; after += 7 * time.Millisecond {
-		t.Run(fmt.Sprint(after), func(t *testing.T) { check(t, after) })
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			t.Parallel()
+			check(t, after)
+		})
 	}
 }
 
--- a/entry/placer/orphan_test.go
+++ b/entry/placer/orphan_test.go
@@ -394,6 +394,7 @@
 	for lossMs := 300; lossMs <= 1150; lossMs += 50 {
 		for _, claimMs := range []int{50, 100, 150, 200} {
 			t.Run(fmt.Sprintf("owner lost after %d ms, claim after %d ms", lossMs, claimMs), func(t *testing.T) {
+				t.Parallel()
 				s := newSimulation(1, 8, 2)
 				first, next := s.owners[0], s.owners[1]
 				s.deliver(first, placer.Claim{WallMs: s.now.UnixMilli()})
