entry: the test of unread answers gives its own caller time to send

TestUnreadAnswers/ids failed once beside other work (connection reset by peer in checkCallerServed). The entry of that test closed connections whose header had not arrived after 50 ms, those of the well-behaved caller that the test ends with included: with 80 ms between opening and sending all three cases fail every time. That limit is no part of what the test guards against and is left at its default; the limit for answers stays at 50 ms, and the checks are as they were.

--- a/entry/hostile_test.go
+++ b/entry/hostile_test.go
@@ -212,7 +212,7 @@
 // TestUnreadAnswers guards against a caller that keeps sending requests without
 // reading any response.
 func TestUnreadAnswers(t *testing.T) {
-	e := startEntry(t, `"answerWriteMs": 50, "headerReadMs": 50`)
+	e := startEntry(t, `"answerWriteMs": 50`)
 	for name, request := range map[string]string{
 		"ids": post("/v1/ids", `{"count":1000}`), "readyz": "GET /readyz HTTP/1.1\r\nHost: e\r\n\r\n",
 		"wrong path": "GET /" + strings.Repeat("x", 300) + " HTTP/1.1\r\nHost: e\r\n\r\n",
