soak: an owner that keeps a job which its entry has given up (known red)

New for it: the forwarder silences open connections, the soak draws this as a fault, and seeds from 20000 on have 31 entries and 352 workers in four groups.

--- a/proof/forwarder/connection.go
+++ b/proof/forwarder/connection.go
@@ -50,9 +50,11 @@
 	}
 	// During a partition the connection is not established until the partition
 	// is healed.
-	if _, ok := n.waitUnblocked(flow{c.from, to}); !ok {
+	if _, ok := n.waitUnblocked(c, flow{c.from, to}); !ok {
 		return
 	}
+	n.add(c)
+	defer n.remove(c)
 	server, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", backend)
 	if err != nil {
 		return
@@ -169,7 +171,7 @@
 // waitToSend blocks during a partition and for the configured delay. It returns
 // false if the network is closed.
 func (c *connection) waitToSend(f flow) bool {
-	delay, ok := c.network.waitUnblocked(f)
+	delay, ok := c.network.waitUnblocked(c, f)
 	if delay > 0 {
 		time.Sleep(delay)
 	}
--- a/proof/forwarder/forwarder_test.go
+++ b/proof/forwarder/forwarder_test.go
@@ -122,6 +122,21 @@
 	}
 }
 
+// TestSilence guards against a silenced connection that transfers data or its end, and
+// against new connections that are silent as well.
+func TestSilence(t *testing.T) {
+	f := newFixture(t)
+	expectError(t, f.post(t.Context(), "/"), false)
+	f.network.Silence("b", "a")
+	shortCtx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	expectError(t, f.post(shortCtx, "/"), true)
+	expectError(t, f.post(t.Context(), "/"), false)
+	if got := len(f.served); got != 2 {
+		t.Errorf("want 2 requests at the server, got %d", got)
+	}
+}
+
 // TestOwner guards against attributing a connection to the wrong process, which
 // would apply a partition to the wrong pair of processes.
 func TestOwner(t *testing.T) {
--- a/proof/forwarder/network.go
+++ b/proof/forwarder/network.go
@@ -51,7 +51,9 @@
 	dropped   int
 	listeners map[string][]net.Listener
 	conns     map[net.Conn]bool
-	closed    bool
+	// relayed are the open connections, and silenced those that transfer nothing more.
+	relayed, silenced map[*connection]bool
+	closed            bool
 }
 
 // New returns a network without faults. clientName returns the process that
@@ -61,6 +63,7 @@
 	n := &Network{
 		clientName: clientName, blocked: map[flow]bool{}, delays: map[flow]time.Duration{},
 		dropRules: map[flow][]*dropRule{}, conns: map[net.Conn]bool{}, listeners: map[string][]net.Listener{},
+		relayed: map[*connection]bool{}, silenced: map[*connection]bool{},
 	}
 	n.changed = sync.NewCond(&n.mu)
 	return n
@@ -105,6 +108,19 @@
 	n.update(func() { n.blocked[flow{from, to}] = true })
 }
 
+// Silence makes the open connections between a and b transfer nothing more, not even
+// their end, as if the network had forgotten them. Connections that are opened later
+// work.
+func (n *Network) Silence(a, b string) {
+	n.update(func() {
+		for c := range n.relayed {
+			if (c.from == a && c.to == b) || (c.from == b && c.to == a) {
+				n.silenced[c] = true
+			}
+		}
+	})
+}
+
 // Restore ends the partition between a and b, in both directions.
 func (n *Network) Restore(a, b string) {
 	n.update(func() { delete(n.blocked, flow{a, b}); delete(n.blocked, flow{b, a}) })
@@ -168,12 +184,13 @@
 	n.changed.Broadcast()
 }
 
-// waitUnblocked waits while the flow is blocked by a partition and returns the
-// delay of its data. It returns false if the network is closed.
-func (n *Network) waitUnblocked(f flow) (time.Duration, bool) {
+// waitUnblocked waits while the flow is blocked by a partition or the connection is
+// silenced, and returns the delay of its data. It returns false if the network is
+// closed.
+func (n *Network) waitUnblocked(c *connection, f flow) (time.Duration, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for n.blocked[f] && !n.closed {
+	for (n.blocked[f] || n.silenced[c]) && !n.closed {
 		n.changed.Wait()
 	}
 	return n.delays[f], !n.closed
@@ -212,3 +229,17 @@
 	defer n.mu.Unlock()
 	delete(n.conns, c)
 }
+
+// add registers a proxied connection that [Network.Silence] applies to.
+func (n *Network) add(c *connection) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.relayed[c] = true
+}
+
+func (n *Network) remove(c *connection) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.relayed, c)
+	delete(n.silenced, c)
+}
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -37,8 +37,14 @@
 	// domains is the number of failure domains, among which entries and workers
 	// are dealt. With more than one, each has a worker group of its own.
 	domains int
-	// maxFaultGap is the longest time between two faults.
-	maxFaultGap time.Duration
+	// maxFaultGap is the longest time between two faults, and maxJobGap that between
+	// two jobs.
+	maxFaultGap, maxJobGap time.Duration
+	// cpuShares are the shares of a CPU core of the entries of a failure domain, in
+	// turns, if there are several failure domains.
+	cpuShares []float64
+	// mixed is set if the jobs are those of a mixed load, and not of random sizes.
+	mixed bool
 }
 
 func (l layout) grouped() bool { return l.domains > 1 }
@@ -103,7 +109,7 @@
 			Store: d.forward(storeName(i), d.store.Handler()),
 		}
 		if l.grouped() {
-			p.name, settings.CPUShare = settings.Name, groupedCPUShare
+			p.name, settings.CPUShare = settings.Name, l.cpuShares[i/l.domains%len(l.cpuShares)]
 		}
 		if err := os.WriteFile(p.settings, []byte(settings.File()), 0o600); err != nil {
 			t.Fatal(err)
--- a/soak/groups_test.go
+++ b/soak/groups_test.go
@@ -25,6 +25,9 @@
 	// groupedWorkers has a worker group in each failure domain.
 	groupedCPUShare = 0.032
 	groupedWorkers  = 18
+	// firstLargeSeed is the lowest seed with a deployment of hundreds of workers. CI
+	// does not run one.
+	firstLargeSeed = 20_000
 	// peerPort is where entries call each other, through forwarders to
 	// peerBackendPort, and metricsPort where an entry serves its metrics.
 	peerPort, metricsPort, peerBackendPort = ":7720", ":7721", ":7725"
@@ -41,10 +44,48 @@
 	perDomain := (groupedWorkers + domains - 1) / domains
 	return layout{
 		entries: 2*domains + r.Intn(domains+1), workers: perDomain * domains, workerCPU: 64000, domains: domains,
-		maxFaultGap: 500*time.Millisecond + time.Duration(r.Int63n(int64(1500*time.Millisecond))),
+		maxFaultGap: 500*time.Millisecond + time.Duration(r.Int63n(int64(1500*time.Millisecond))), maxJobGap: 30 * time.Millisecond,
+		cpuShares: []float64{groupedCPUShare},
 	}
 }
 
+// largeLayout is a deployment of four failure domains with entries of two sizes.
+func largeLayout() layout {
+	return layout{
+		entries: 31, workers: 352, workerCPU: 64000, domains: 4, mixed: true,
+		maxFaultGap: 2 * time.Second, maxJobGap: 8 * time.Millisecond, cpuShares: []float64{0.8, 0.192},
+	}
+}
+
+// jobKind is a kind of job of a mixed load. Its share is relative to those of the
+// others.
+type jobKind struct {
+	share, tasks int
+	work         listener.Work
+}
+
+var mixedLoad = []jobKind{
+	{206, 8, listener.Work{CPU: 32000, WorkMs: 60}},
+	{37, 4, listener.Work{CPU: 32000, WorkMs: 900}},
+	{600, 2, listener.Work{CPU: 32000, WorkMs: 200}},
+}
+
+// drawMixedJob draws a job of the mixed load. Run times differ from what jobs state.
+func drawMixedJob(r *rand.Rand) (int, listener.Work) {
+	n := 0
+	for _, k := range mixedLoad {
+		n += k.share
+	}
+	n = r.Intn(n)
+	i := 0
+	for ; n >= mixedLoad[i].share; i++ {
+		n -= mixedLoad[i].share
+	}
+	work := mixedLoad[i].work
+	work.EstimateMs, work.WorkMs = work.WorkMs, int64(float64(work.WorkMs)*(0.6+0.8*r.Float64()))
+	return mixedLoad[i].tasks, work
+}
+
 // clientName returns the forwarder's name of the entry that opened a connection.
 func (d *deployment) clientName(accepted net.Conn) string {
 	if !d.layout.grouped() {
@@ -121,13 +162,18 @@
 func (d *deployment) ownerOf(domain int) *process {
 	list := d.inDomain(domain)
 	for _, p := range list {
-		if strings.Contains(d.metrics(p), `godwitrelay_ownership{state="owner"} 1`) {
+		if d.owns(p) {
 			return p
 		}
 	}
 	return list[0]
 }
 
+// owns reports whether an entry owns workers by its own metrics.
+func (d *deployment) owns(p *process) bool {
+	return strings.Contains(d.metrics(p), `godwitrelay_ownership{state="owner"} 1`)
+}
+
 // metrics returns the metrics of an entry, or "" if it does not answer.
 func (d *deployment) metrics(p *process) string {
 	ctx, cancel := context.WithTimeout(d.t.Context(), metricsTimeout)
@@ -202,7 +248,7 @@
 	p := d.pick(r)
 	duration := 200*time.Millisecond + time.Duration(r.Int63n(int64(2500*time.Millisecond)))
 	early := time.Duration(r.Int63n(int64(400 * time.Millisecond)))
-	kind, c, choice := r.Intn(12), direction(r.Intn(3)), r.Intn(len(d.workers))
+	kind, c, choice := r.Intn(13), direction(r.Intn(3)), r.Intn(len(d.workers))
 	after := func(wait time.Duration, do func()) {
 		faults.Go(func() {
 			time.Sleep(wait)
@@ -258,6 +304,11 @@
 		return fmt.Sprintf("%s is cut off (%v) for %v", w.ID, c, rounded)
 	case 9:
 		return d.delayOrders(r, w, duration, after)
+	case 10:
+		for _, o := range d.entryNames(p.name) {
+			d.network.Silence(p.name, o)
+		}
+		return fmt.Sprintf("open connections of entry %d to the other entries fall silent", p.index)
 	default:
 		return d.loseEntryAndOwner(r, callers, duration, after)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -60,7 +60,10 @@
 // sequence of the faults.
 func layoutOf(seed int64) layout {
 	if seed < firstGroupedSeed {
-		return layout{entries: 5, workers: 8, workerCPU: 64000, domains: 1, maxFaultGap: 1200 * time.Millisecond}
+		return layout{entries: 5, workers: 8, workerCPU: 64000, domains: 1, maxFaultGap: 1200 * time.Millisecond, maxJobGap: 30 * time.Millisecond}
+	}
+	if seed >= firstLargeSeed {
+		return largeLayout()
 	}
 	return drawGroupedLayout(rand.New(rand.NewSource(seed)))
 }
@@ -71,7 +74,8 @@
 // the last fault, every entry must complete a job within recoveryTimeout, and all
 // runs must end. GODWIT_SEED sets the first seed; with it, GODWIT_SEEDS sets the
 // number of seeds. GODWIT_SECONDS sets the duration of fault injection per seed.
-// Seeds from firstGroupedSeed on have several worker groups. GODWIT_KEEP=1 keeps the
+// Seeds from firstGroupedSeed on have several worker groups, and those from
+// firstLargeSeed on hundreds of workers as well. GODWIT_KEEP=1 keeps the
 // logs of seeds that pass.
 func TestSoak(t *testing.T) {
 	program := buildEntry(t)
@@ -99,6 +103,7 @@
 
 func runSeed(t *testing.T, program string, seed int64) {
 	d := deploy(t, program, layoutOf(seed))
+	defer d.reportViolations(seed)
 	d.awaitService("the start")
 	r := rand.New(rand.NewSource(seed))
 	callers := &callers{d: d, log: d.createLog("callers"), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
@@ -127,10 +132,15 @@
 			break
 		}
 	}
+}
+
+// reportViolations fails the test for each violation that the workers have observed,
+// and saves the logs of a run that has failed.
+func (d *deployment) reportViolations(seed int64) {
 	for _, v := range d.fleet.Violations() {
-		t.Error(v)
+		d.t.Error(v)
 	}
-	if t.Failed() || os.Getenv("GODWIT_KEEP") != "" {
+	if d.t.Failed() || os.Getenv("GODWIT_KEEP") != "" {
 		d.saveLogs(seed)
 	}
 }
@@ -191,6 +201,9 @@
 			work.WorkMs = 1200
 		}
 		next := 1
+		if c.d.layout.mixed {
+			tasks, work = drawMixedJob(r)
+		}
 		if c.d.layout.grouped() {
 			next = r.Intn(len(c.d.processes))
 			if r.Intn(12) == 0 {
@@ -198,7 +211,7 @@
 			}
 		}
 		c.wg.Go(func() { c.submit(id, first, next, tasks, work) })
-		time.Sleep(time.Duration(r.Int63n(int64(30 * time.Millisecond))))
+		time.Sleep(time.Duration(r.Int63n(int64(c.d.layout.maxJobGap))))
 	}
 	c.wg.Wait()
 }
