--- a/entry/relayer/transport.go
+++ b/entry/relayer/transport.go
@@ -21,8 +21,9 @@
 )
 
 // NewTransport returns [messenger.NewTransport] adapted to networks in which a
-// peer may stop responding without closing its connections.
-func NewTransport(perHost int, dialTimeout time.Duration) *http.Transport {
+// peer may stop responding without closing its connections. Connections come from the
+// address from, or from one that the system chooses if from is nil.
+func NewTransport(perHost int, dialTimeout time.Duration, from net.IP) *http.Transport {
 	t := messenger.NewTransport(perHost, dialTimeout)
 	dialer := &net.Dialer{
 		Timeout:         dialTimeout,
@@ -35,6 +36,9 @@
 			})
 		},
 	}
+	if from != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: from}
+	}
 	t.DialContext = dialer.DialContext
 	return t
 }
