placer: the log tells which runs a job had, and when runs without a job ended

Now that line has the worker and run number of each task and the number of runs that are being stopped, and another line tells when and how such a run ended.

--- a/entry/placer/runs.go
+++ b/entry/placer/runs.go
@@ -89,6 +89,7 @@
 			continue
 		}
 		w.removeRun(r)
+		s.logOrphanEnd(now, w, r, e.Kind)
 		s.handleRunEnd(now, w, r, e.Kind)
 	}
 	listed := make(map[RunKey]bool, len(msg.Running))
@@ -111,6 +112,7 @@
 			s.adoptRun(w, replacement, r.job, r.taskIndex)
 			continue
 		}
+		s.logOrphanEnd(now, w, r, EndExpired)
 		s.handleRunEnd(now, w, r, EndExpired)
 	}
 	w.listedAt = msg.Sent
@@ -118,6 +120,19 @@
 	s.resolveOrphans(now, w)
 }
 
+// logOrphanEnd logs the end of a run without a job, and how long after it lost its job
+// that became known.
+func (s *State) logOrphanEnd(now time.Time, w *worker, r *run, kind EndKind) {
+	if r.job != nil {
+		return
+	}
+	fields := map[string]any{"task": r.key.Task, "run": r.key.Number, "worker": w.ID, "how": string(kind)}
+	if !r.orphanedAt.IsZero() {
+		fields["afterMs"] = now.Sub(r.orphanedAt).Milliseconds()
+	}
+	s.log("run without a job ended", fields)
+}
+
 // jobIDOf returns the id of the job that the task with the given name belongs to.
 func jobIDOf(task string) string {
 	id, _, _ := strings.Cut(task, ".")
--- a/entry/placer/submit.go
+++ b/entry/placer/submit.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
@@ -280,8 +281,10 @@
 			break
 		}
 	}
+	runs, left := lastRuns(j), 0
 	for i := range j.tasks {
 		if r := j.tasks[i].run; r != nil {
+			left++
 			j.tasks[i].run = nil
 			if w := s.workers[j.tasks[i].workerID]; w != nil && w.runs[r.key] == r {
 				s.stopRun(now, w, r)
@@ -292,9 +295,22 @@
 	s.log("job ended", map[string]any{
 		"job": j.ID, "queue": j.Queue, "entry": j.entry, "outcome": result.Outcome(), "reason": result.errorMessage(), "offered": j.startRequested,
 		"tasks": len(j.tasks), "left": j.remainingTasks, "cpu": j.Resources.CPU, "expectedMs": s.runTimes.expectedRunTime(j).Milliseconds(), "ageMs": now.Sub(j.submittedAt).Milliseconds(),
+		"runs": summarize(runs), "runsLeft": left,
 	})
 }
 
+// lastRuns returns the worker and run number of the last start of each task that has
+// been started, for a log line.
+func lastRuns(j *job) []string {
+	var list []string
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.lastRunNumber > 0 {
+			list = append(list, fmt.Sprintf("%d:%s/%d", i, t.workerID, t.lastRunNumber))
+		}
+	}
+	return list
+}
+
 // requeue returns a job with unstarted tasks to the queue, or gives it up if one of
 // them has crashed too many workers.
 func (s *State) requeue(now time.Time, j *job) {
--- a/entry/relayer/neighbour.go
+++ b/entry/relayer/neighbour.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
 	"github.com/godwitrelay/godwitrelay/entry/placer"
@@ -91,7 +92,7 @@
 	}
 	r.neighbours.Deduct(n.Group, cpu)
 	r.Metrics.Count("retry", "spilled")
-	r.Log.WithField("job", job.ID).WithField("group", n.Group).WithField("freeCpu", n.FreeCPU).WithField("ageMs", n.AgeMs).Info("relayer: spilling job to another worker group")
+	r.Log.WithFields(logrus.Fields{"job": job.ID, "group": n.Group, "owner": n.Owner, "freeCpu": n.FreeCPU, "ageMs": n.AgeMs}).Info("relayer: spilling job to another worker group")
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go r.sendKeepAlives(ctx, cancel, n.Owner)
