placer, relayer: an owner keeps a job only while its entry attests that it waits for it

Callers saw a task run twice at once, by the owners of two worker groups. The entry had given the job up, and its caller sent it to another group after 1.3 s; the first owner went on until the run's end or the caller's deadline, because the end of the connection that carried the job never arrived, while heartbeats on other connections went on.

Cause: an owner took "the entry is alive" for "the entry waits for this job", and concluded that an entry was lost by the absence of its heartbeats, which its own late ticks put off without limit. Nothing bounded the leases meanwhile.

Replies to heartbeats now carry a stamp, a time on the owner's clock; the entry sends the last one back with the jobs that it waits for there. A job that is not among them ends, leases are not renewed beyond 1.2 s after the stamp, no task starts 0.3 s after it, and a job that was held up on the way for 0.8 s is refused as one that did not run. The next owner learns of runs whose entry was silent. A job is passed on to another group only if its owner answers. Leases are 0.95 s long, as a run that starts beside others gets what is left of theirs.

--- a/entry/placer/doc.go
+++ b/entry/placer/doc.go
@@ -27,6 +27,10 @@
 // with it. Its caller may resubmit the job to any entry, also to one of another
 // worker group, whose owner does not know of the run.
 //
+// An entry attests, several times a second, that it waits for its jobs here. A run ends
+// within jobLease of the last time at which its job is known to have been waited for: a
+// caller that has lost its entry resubmits the job after that.
+//
 // Ownership is contested if another owner may exist: when it claimed, the entry
 // had heard only itself or at most half of the entries, so the others may have
 // elected an owner too.
@@ -35,9 +39,10 @@
 import "time"
 
 const (
-	// leaseDuration is how far ahead leases are renewed. It is the longest
-	// lease the platform grants.
-	leaseDuration = time.Second
+	// leaseDuration is how far ahead leases are renewed. The platform grants 1 s. A run
+	// gets at least what is left of the lease of its worker, so that leaseDuration and
+	// maxAttestationAge together are less than the time after which callers resubmit.
+	leaseDuration = 950 * time.Millisecond
 	// idleHoldWait is the wait of a hold: how long the worker keeps it open
 	// when it has nothing to report. Two holds fit in one lease.
 	idleHoldWait = 400 * time.Millisecond
@@ -75,7 +80,7 @@
 	// giveUpAfter is how long a worker may be silent before jobs with runs on it
 	// fail. If only its replies are lost, holds still renew its leases and the runs
 	// go on; otherwise the leases have expired after leaseDuration.
-	giveUpAfter = 2 * leaseDuration
+	giveUpAfter = 2 * time.Second
 	// A worker is probed for overdue runs if its last response is older than
 	// probeAfter, at most once per probeInterval. Both are longer when workers
 	// respond slowly, since probes over a congested link add to the congestion.
@@ -107,6 +112,22 @@
 	// entry, and the run must have ended by then. The owner may notice the broken
 	// connection later than the caller.
 	orphanLease = 1100 * time.Millisecond
+	// jobLease is how long after its entry last attested that it waits for a job the
+	// leases of the job's runs may be renewed. The caller's connection broke no earlier
+	// than that, but for the time in which the entry notices it.
+	jobLease = 1200 * time.Millisecond
+	// jobTimeout is how long after its entry last attested that it waits for a job the job
+	// ends. Its runs are stopped before the leases of other jobs on their workers end.
+	jobTimeout = 1000 * time.Millisecond
+	// maxAttestationAge is the age of the last attestation from which no task of a job is
+	// started.
+	maxAttestationAge = 300 * time.Millisecond
+	// heldUpAge is the age of the attestation of a job on its arrival from which it counts
+	// as held up on the way.
+	heldUpAge = 800 * time.Millisecond
+	// attestationAllowance is the age of the last attestation from which an owner reports
+	// the runs of a job as if they had lost it. An entry attests its jobs every 0.2 s.
+	attestationAllowance = orphanStopAllowance + jobLease - orphanLease
 	// orphanStopAllowance is how long before its loss the previous owner may have lost
 	// a job whose runs it had not stopped yet: two stop requests may get no answer.
 	orphanStopAllowance = 300 * time.Millisecond
--- a/entry/placer/group_history_test.go
+++ b/entry/placer/group_history_test.go
@@ -64,7 +64,8 @@
 	sizes := []int{3, 3, 3}[:2+seed%2]
 	s, groups := newGroups(seed, sizes...)
 	h := &groupHistory{simulation: s, groups: groups, attempts: map[placer.Waiter]*attempt{}, cut: map[*machine]bool{}}
-	s.reclaimWorkers = true
+	s.reclaimWorkers, s.attests = true, true
+	h.attestJobs()
 	s.answered = h.handleAnswer
 	s.faults.exactLeases = true
 	for _, m := range s.machines {
@@ -146,8 +147,19 @@
 	}
 }
 
+// attestJobs makes the entries attest that they wait for their jobs, with the stamp of
+// the reply before.
+func (h *groupHistory) attestJobs() {
+	h.schedule(attestationInterval, func(now time.Time) {
+		for _, a := range h.waiting(nil) {
+			h.deliver(a.group.owner, placer.JobsAttested{Entry: h.entryName(a.waiter), At: now.Add(-attestationInterval), Jobs: []string{a.job.job.ID}})
+		}
+		h.attestJobs()
+	})
+}
+
 // loseEntry ends the entry of one of the last jobs. Its owner notices the broken
-// connection.
+// connection, or does not, if that is silent.
 func (h *groupHistory) loseEntry() {
 	list := h.waiting(nil)
 	if len(list) == 0 {
@@ -155,8 +167,11 @@
 	}
 	a := list[len(list)-1-h.random.Intn(min(len(list), 3))]
 	a.entryLost = true
+	silent := a.waiter%3 == 0
 	h.schedule(h.upTo(195*time.Millisecond), func(time.Time) {
-		h.deliver(a.group.owner, placer.Cancel{JobID: a.job.job.ID, Waiter: a.waiter})
+		if !silent {
+			h.deliver(a.group.owner, placer.Cancel{JobID: a.job.job.ID, Waiter: a.waiter})
+		}
 	})
 	h.sendAgain(a.job)
 }
--- a/entry/placer/job.go
+++ b/entry/placer/job.go
@@ -104,8 +104,13 @@
 // job holds the state of a job from submission to its answer.
 type job struct {
 	Job
-	waiter         Waiter
-	entry          string
+	waiter Waiter
+	entry  string
+	// receivedAt is when the job last arrived from its entry, and attestedAt the last
+	// time at which that entry is known to have waited for it, or zero if the entry
+	// does not attest its jobs.
+	receivedAt, attestedAt time.Time
+
 	submittedAt    time.Time
 	deadline       time.Time
 	tasks          []task
@@ -124,7 +129,7 @@
 
 func newJob(now time.Time, msg Submit) *job {
 	return &job{
-		Job: msg.Job, waiter: msg.Waiter, entry: msg.Entry, submittedAt: msg.arrivedAt(now), deadline: msg.deadline(now),
+		Job: msg.Job, waiter: msg.Waiter, entry: msg.Entry, receivedAt: msg.arrivedAt(now), attestedAt: msg.AttestedAt, submittedAt: msg.arrivedAt(now), deadline: msg.deadline(now),
 		tasks: make([]task, msg.Job.Tasks), remainingTasks: msg.Job.Tasks,
 	}
 }
--- a/entry/placer/latestart.go
+++ b/entry/placer/latestart.go
@@ -160,6 +160,9 @@
 
 // runnableTasks returns the number of tasks of j that wait for resources only.
 func (s *State) runnableTasks(now time.Time, j *job) int {
+	if j.attestationAge(now) >= maxAttestationAge {
+		return 0
+	}
 	return j.unstartedTasks() - len(s.heldBackTasks(now, j))
 }
 
--- a/entry/placer/message.go
+++ b/entry/placer/message.go
@@ -50,6 +50,9 @@
 	Entry      string
 	Job        Job
 	Placements []Placement
+	// AttestedAt is a time at which the entry was alive and about to send the job, or
+	// waited for it, or zero if the entry does not attest its jobs.
+	AttestedAt time.Time
 }
 
 // arrivedAt returns when the job arrived at this process.
@@ -77,6 +80,14 @@
 // long.
 type EntryLost struct{ Entry string }
 
+// JobsAttested reports that an entry was alive at the given time and waited for these
+// jobs here, and for no others that it had sent by then. Jobs is in ascending order.
+type JobsAttested struct {
+	Entry string
+	At    time.Time
+	Jobs  []string
+}
+
 // HoldResponse is the response to a [Hold].
 type HoldResponse struct {
 	Worker      string
@@ -126,6 +137,7 @@
 func (Submit) isMsg()          {}
 func (Cancel) isMsg()          {}
 func (EntryLost) isMsg()       {}
+func (JobsAttested) isMsg()    {}
 func (HoldResponse) isMsg()    {}
 func (StartResponse) isMsg()   {}
 func (StopResponse) isMsg()    {}
--- a/entry/placer/orphan.go
+++ b/entry/placer/orphan.go
@@ -10,32 +10,43 @@
 // has to end.
 func (w *worker) leaseLimit(now time.Time) time.Time {
 	limit := now.Add(leaseDuration)
-	if w.orphans == 0 {
-		return limit
-	}
 	for _, r := range w.runs {
-		if r.job != nil || r.stopAttempts < 0 {
-			continue
-		}
-		if end := r.orphanedAt.Add(orphanLease); end.Before(limit) {
+		if end, limited := r.leaseLimit(); limited && end.Before(limit) {
 			limit = end
 		}
 	}
 	return limit
 }
 
-// OldestOrphan returns when the first run without a job that may still be in progress
-// lost it, or zero if there is none.
+// leaseLimit returns the time by which a run must have ended, and whether there is one.
+func (r *run) leaseLimit() (time.Time, bool) {
+	switch {
+	case r.stopAttempts < 0:
+		return time.Time{}, false
+	case r.job == nil:
+		return r.orphanedAt.Add(orphanLease), true
+	default:
+		return r.job.attestedAt.Add(jobLease), !r.job.attestedAt.IsZero()
+	}
+}
+
+// OldestOrphan returns when the first run that may still be in progress lost its job, or
+// zero if there is none. A run whose job has not been attested lately counts as one that
+// lost it then.
 func (s *State) OldestOrphan(now time.Time) time.Time {
 	var oldest time.Time
 	for _, w := range s.sortedWorkers {
-		if w.orphans == 0 {
-			continue
-		}
 		for _, r := range w.runs {
+			if r.stopAttempts < 0 || (r.job != nil && r.job.attestationAge(now) < attestationAllowance) {
+				continue
+			}
+			lostAt := r.orphanedAt
+			if r.job != nil {
+				lostAt = r.job.lostAt(now)
+			}
 			// The leases of older runs have expired.
-			if r.job == nil && r.stopAttempts >= 0 && now.Sub(r.orphanedAt) < orphanLease && (oldest.IsZero() || r.orphanedAt.Before(oldest)) {
-				oldest = r.orphanedAt
+			if now.Sub(lostAt) < orphanLease && (oldest.IsZero() || lostAt.Before(oldest)) {
+				oldest = lostAt
 			}
 		}
 	}
--- a/entry/placer/place.go
+++ b/entry/placer/place.go
@@ -68,6 +68,9 @@
 // slow ones. Among them, the worker with the least free CPU on which the task
 // fits is used first, which leaves larger blocks of resources for large tasks.
 func (s *State) placeJob(now time.Time, j *job, candidates []candidate) bool {
+	if j.attestationAge(now) >= maxAttestationAge {
+		return false
+	}
 	heldBack := s.heldBackTasks(now, j)
 	unplaced := j.unstartedTasks() - len(heldBack)
 	nextTask := 0
--- a/entry/placer/runs.go
+++ b/entry/placer/runs.go
@@ -233,7 +233,7 @@
 // stopRun stops a run whose result is no longer needed.
 func (s *State) stopRun(now time.Time, w *worker, r *run) {
 	if r.job != nil {
-		r.job, r.orphanedAt = nil, now
+		r.job, r.orphanedAt = nil, r.job.lostAt(now)
 		w.orphans++
 	}
 	if r.state == stopping {
--- a/entry/placer/simulation_test.go
+++ b/entry/placer/simulation_test.go
@@ -130,6 +130,9 @@
 	jobs           map[string]*submittedJob
 	waiters        map[placer.Waiter]*submittedJob
 	lastWaiter     placer.Waiter
+	// attests is set if each request comes from an entry of its own, which attests that
+	// it waits for the job.
+	attests bool
 	// answered is called with each answer, if it is set.
 	answered func(placer.Answer)
 	// violations lists what must never happen: two runs of a task at the same
@@ -489,10 +492,19 @@
 	}
 	s.lastWaiter++
 	s.waiters[s.lastWaiter] = j
-	s.deliver(o, placer.Submit{Waiter: s.lastWaiter, Entry: o.name, Job: job, Placements: placements})
+	msg := placer.Submit{Waiter: s.lastWaiter, Entry: o.name, Job: job, Placements: placements}
+	if s.attests {
+		msg.Entry, msg.AttestedAt = s.entryName(s.lastWaiter), s.now
+	}
+	s.deliver(o, msg)
 	return j
 }
 
+// entryName returns the name of the entry of a request if it attests its jobs.
+func (s *simulation) entryName(waiter placer.Waiter) string {
+	return fmt.Sprintf("entry of %d", waiter)
+}
+
 func (s *simulation) reportViolation(format string, args ...any) {
 	s.violations = append(s.violations, s.now.Format("05.000")+" "+fmt.Sprintf(format, args...))
 }
--- a/entry/placer/state.go
+++ b/entry/placer/state.go
@@ -72,6 +72,8 @@
 		s.handleCancel(now, msg)
 	case EntryLost:
 		s.handleEntryLost(now, msg.Entry)
+	case JobsAttested:
+		s.handleJobsAttested(now, msg)
 	case HoldResponse:
 		s.handleHoldResponse(now, msg)
 	case StartResponse:
@@ -211,6 +213,10 @@
 			s.failJob(now, j, messenger.DeadlineExceeded, "the caller's deadline has passed")
 			continue
 		}
+		if j.attestationAge(now) >= jobTimeout {
+			s.failJob(now, j, messenger.OwnerUnreachable, "the caller's entry has not attested that it waits for the job")
+			continue
+		}
 		s.failUnresolvedJob(now, j)
 	}
 	for _, w := range s.sortedWorkers {
--- a/entry/placer/submit.go
+++ b/entry/placer/submit.go
@@ -11,11 +11,16 @@
 // resubmitted it and its earlier request is obsolete, so the new request
 // replaces the earlier one.
 func (s *State) handleSubmit(now time.Time, msg Submit) {
+	if !msg.AttestedAt.IsZero() && now.Sub(msg.AttestedAt) >= heldUpAge {
+		s.log("job was held up on the way", map[string]any{"job": msg.Job.ID, "entry": msg.Entry, "attestedAgeMs": now.Sub(msg.AttestedAt).Milliseconds()})
+		s.emit(Answer{msg.Waiter, Result{Err: messenger.NewError(messenger.NoTarget, "the job was held up on the way from its entry")}})
+		return
+	}
 	if existing := s.jobs[msg.Job.ID]; existing != nil {
 		s.log("job resubmitted", map[string]any{"job": existing.ID, "entry": msg.Entry, "before": existing.entry})
 		s.emit(Answer{existing.waiter, Result{Err: messenger.NewError(messenger.TargetLost, "the job was resubmitted in another request")}})
 		existing.waiter, existing.entry = msg.Waiter, msg.Entry
-		existing.deadline = msg.deadline(now)
+		existing.deadline, existing.receivedAt, existing.attestedAt = msg.deadline(now), msg.arrivedAt(now), msg.AttestedAt
 		return
 	}
 	if !s.isOwner {
@@ -295,7 +300,7 @@
 	s.log("job ended", map[string]any{
 		"job": j.ID, "queue": j.Queue, "entry": j.entry, "outcome": result.Outcome(), "reason": result.errorMessage(), "offered": j.startRequested,
 		"tasks": len(j.tasks), "left": j.remainingTasks, "cpu": j.Resources.CPU, "expectedMs": s.runTimes.expectedRunTime(j).Milliseconds(), "ageMs": now.Sub(j.submittedAt).Milliseconds(),
-		"runs": summarize(runs), "runsLeft": left,
+		"runs": summarize(runs), "runsLeft": left, "attestedAgeMs": j.attestationAge(now).Milliseconds(),
 	})
 }
 
--- a/entry/relayer/neighbour.go
+++ b/entry/relayer/neighbour.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,10 +17,13 @@
 	// keepAliveInterval is the interval between keep-alives to the owner of
 	// another worker group while it runs a job of this entry. An owner cancels
 	// the jobs of entries that send it no ping for 700 ms.
-	keepAliveInterval = 200 * time.Millisecond
+	keepAliveInterval = 150 * time.Millisecond
 	// maxKeepAliveMisses is the number of consecutive keep-alives without a reply
 	// after which that owner is considered lost.
 	maxKeepAliveMisses = 2
+	// greetTimeout limits how long a job that this group has refused waits for the owner
+	// of another one.
+	greetTimeout = 100 * time.Millisecond
 )
 
 // pingNeighbours asks the neighbours, the owners of other worker groups, for
@@ -90,6 +92,12 @@
 	if !ok || r.groups.current().Layout.Parts == 0 {
 		return placer.Result{}, false
 	}
+	if !r.greet(ctx, n.Owner) {
+		return placer.Result{}, false
+	}
+	request := r.attestations.NewRequest(job.ID)
+	request.WaitAt(n.Owner)
+	defer request.End()
 	r.neighbours.Deduct(n.Group, cpu)
 	r.Metrics.Count("retry", "spilled")
 	r.Log.WithFields(logrus.Fields{"job": job.ID, "group": n.Group, "owner": n.Owner, "freeCpu": n.FreeCPU, "ageMs": n.AgeMs}).Info("relayer: spilling job to another worker group")
@@ -110,15 +118,27 @@
 	return result, true
 }
 
+// greet reports whether the owner of another worker group answers, so that a job which
+// is held up on the way to it can be told from one that was sent just now.
+func (r *Relayer) greet(ctx context.Context, address string) bool {
+	if _, ok := r.attestations.Stamp(time.Now(), address); ok {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+	defer cancel()
+	_, err := r.beat(ctx, address)
+	return err == nil
+}
+
 // sendKeepAlives sends keep-alives to the owner of another worker group, and
 // calls onLost when that owner stops replying.
 func (r *Relayer) sendKeepAlives(ctx context.Context, onLost func(), address string) {
 	misses := 0
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, pingTimeout)
-		status, err := r.Peers.Call(call, http.MethodPost, "http://"+address+"/peer/v1/beat", r.heartbeat(), &heartbeat{})
+		_, err := r.beat(call, address)
 		cancel()
-		if err == nil && status == http.StatusOK {
+		if err == nil {
 			misses = 0
 		} else if misses++; misses >= maxKeepAliveMisses {
 			onLost()
--- a/entry/relayer/peer.go
+++ b/entry/relayer/peer.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
+	"github.com/godwitrelay/godwitrelay/entry/attester"
 	"github.com/godwitrelay/godwitrelay/entry/elector"
 	"github.com/godwitrelay/godwitrelay/entry/grouper"
 	"github.com/godwitrelay/godwitrelay/entry/lister"
@@ -53,6 +54,10 @@
 	FreeCPU int64 `json:"freeCpu,omitempty"`
 	// Neighbours lists the owners of other worker groups that the sender knows.
 	Neighbours []spiller.Neighbour `json:"neighbours,omitempty"`
+	// Stamp is the time of a reply on the clock of its sender. Attestation is set in a
+	// ping.
+	Stamp       attester.Stamp        `json:"stamp,omitzero"`
+	Attestation *attester.Attestation `json:"attestation,omitempty"`
 }
 
 func (r *Relayer) heartbeat() heartbeat {
@@ -84,6 +89,7 @@
 // of its neighbours, and only what they need to choose one.
 func (r *Relayer) heartbeatTo(from heartbeat) heartbeat {
 	b := r.heartbeat()
+	b.Stamp = attester.NewStamp(r.Self.Incarnation, timeSinceBoot())
 	if b.View.ClaimedAtMs == 0 || from.View.Group != b.View.Group {
 		return b
 	}
@@ -97,12 +103,8 @@
 func (r *Relayer) ping(address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
-	var reply heartbeat
 	sentAt := timeSinceBoot()
-	status, err := r.Peers.Call(ctx, http.MethodPost, "http://"+address+"/peer/v1/beat", r.heartbeat(), &reply)
-	if err == nil && status != http.StatusOK {
-		err = errors.Newf("status %d", status)
-	}
+	reply, err := r.beat(ctx, address)
 	if err != nil {
 		r.post(elector.PingFailed{Address: address, Refused: errors.Is(err, messenger.ErrNotSent) && errors.Is(err, syscall.ECONNREFUSED)})
 		return
@@ -115,6 +117,21 @@
 	r.confirmAs(sentAt, reply)
 }
 
+// beat sends a heartbeat to another entry and returns its reply.
+func (r *Relayer) beat(ctx context.Context, address string) (heartbeat, error) {
+	b, reply := r.heartbeat(), heartbeat{}
+	attestation := r.attestations.Attest(address)
+	b.Attestation = &attestation
+	status, err := r.Peers.Call(ctx, http.MethodPost, "http://"+address+"/peer/v1/beat", b, &reply)
+	if err == nil && status != http.StatusOK {
+		err = errors.Newf("status %d", status)
+	}
+	if err == nil {
+		r.attestations.Record(time.Now(), address, reply.Stamp)
+	}
+	return reply, err
+}
+
 func (b heartbeat) workersVersion() lister.Version {
 	return lister.Version{Author: b.WorkersAuthor, Number: b.WorkersVersion, Digest: b.WorkersDigest}
 }
@@ -196,10 +213,20 @@
 	r.raiseFence(b.Fence)
 	r.adoptLayout(b)
 	r.post(elector.PingReceived{View: b.View})
+	if a := b.Attestation; a != nil && r.IsOwner() {
+		if at, ok := r.stampTime(a.Stamp); ok {
+			r.post(placer.JobsAttested{Entry: b.View.From.Address, At: at, Jobs: a.Jobs})
+		}
+	}
 	messenger.WriteJSON(w, http.StatusOK, r.heartbeatTo(b))
 	go r.fetchNewer(b.View.From.Address, b)
 }
 
+// stampTime returns the time of a stamp that another entry sent back to this one.
+func (r *Relayer) stampTime(s attester.Stamp) (time.Time, bool) {
+	return s.Time(time.Now(), r.Self.Incarnation, timeSinceBoot())
+}
+
 // serveWorkers replies with the changes since the version in the query. If the
 // version is missing or malformed, the reply holds the whole list.
 func (r *Relayer) serveWorkers(w http.ResponseWriter, req *http.Request) {
@@ -233,7 +260,16 @@
 	}
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
-	result := r.submitLocally(req.Context(), placer.Submit{Entry: s.Entry, Job: s.Job, Placements: s.Placements}, reconnectGrace)
+	msg := placer.Submit{Entry: s.Entry, Job: s.Job, Placements: s.Placements}
+	if s.Stamp != nil {
+		at, ok := r.stampTime(*s.Stamp)
+		if !ok {
+			// The entry has had no reply from this process yet.
+			at = time.Now()
+		}
+		msg.AttestedAt = at
+	}
+	result := r.submitLocally(req.Context(), msg, reconnectGrace)
 	messenger.WriteJSON(w, http.StatusOK, result)
 }
 
--- a/entry/relayer/relayer.go
+++ b/entry/relayer/relayer.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
+	"github.com/godwitrelay/godwitrelay/entry/attester"
 	"github.com/godwitrelay/godwitrelay/entry/canceller"
 	"github.com/godwitrelay/godwitrelay/entry/confirmer"
 	"github.com/godwitrelay/godwitrelay/entry/elector"
@@ -103,6 +104,8 @@
 	// requests of callers that it holds.
 	cancellings canceller.State
 	held        heldRequests
+	// attestations holds the jobs for which this entry waits at owners.
+	attestations attester.State
 	// claimedAt is when this entry last became the owner. Only the event loop uses it.
 	claimedAt time.Time
 
--- a/entry/relayer/submit.go
+++ b/entry/relayer/submit.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
+	"github.com/godwitrelay/godwitrelay/entry/attester"
 	"github.com/godwitrelay/godwitrelay/entry/placer"
 )
 
@@ -91,6 +92,9 @@
 	retryUntil := began.Add(ownerWait(job))
 	var placements []placer.Placement
 	ownerLost := false
+	// The job still waits at an owner whose connection broke, until it is sent again.
+	request := r.attestations.NewRequest(job.ID)
+	defer request.End()
 	for first := true; ; first = false {
 		now := time.Now()
 		switch {
@@ -104,7 +108,9 @@
 			return placer.Result{Err: messenger.NewError(messenger.NotReady, "no entry owns the workers").WithRetryAfter(1000)}
 		}
 		job.RemainingMs = deadline.Sub(now).Milliseconds()
-		result, err := r.submitToOwner(ctx, r.ownership.Load(), job, placements)
+		o := r.ownership.Load()
+		request.WaitAt(o.address)
+		result, err := r.submitToOwner(ctx, o, job, placements)
 		switch {
 		case err != nil && ctx.Err() != nil:
 			// The caller disconnected during the call.
@@ -233,6 +239,9 @@
 	Entry      string             `json:"entry"`
 	Job        placer.Job         `json:"job"`
 	Placements []placer.Placement `json:"placements,omitempty"`
+	// Stamp is the last one that the entry received from the owner. It is nil if the
+	// entry does not attest its jobs.
+	Stamp *attester.Stamp `json:"stamp,omitempty"`
 }
 
 // forward submits a job to another entry. It fails with errOwnerLost if another
@@ -289,7 +298,8 @@
 // sendJob sends a job to the entry at address and waits for the result.
 func (r *Relayer) sendJob(ctx context.Context, address string, job placer.Job, placements []placer.Placement) (placer.Result, error) {
 	var result placer.Result
-	status, err := r.Peers.Call(ctx, http.MethodPost, "http://"+address+"/peer/v1/jobs", submission{r.Self.Address, job, placements}, &result)
+	stamp, _ := r.attestations.Stamp(time.Now(), address)
+	status, err := r.Peers.Call(ctx, http.MethodPost, "http://"+address+"/peer/v1/jobs", submission{r.Self.Address, job, placements, &stamp}, &result)
 	if err == nil && status != http.StatusOK {
 		err = errors.Wrapf(errRejected, "status %d", status)
 	}
