placer: the lease of a run that is stopped beside a late start is not renewed

A worker that may have restarted may execute a late start of a task, so that the task's run elsewhere is stopped. The leases on that worker are not renewed now until the run has ended.

--- a/entry/placer/latestart.go
+++ b/entry/placer/latestart.go
@@ -184,7 +184,7 @@
 				"lateRun": start.key.Number, "lateWorker": w.ID, "lateAgeMs": now.Sub(start.sentAt).Milliseconds(),
 			})
 			s.emit(Count{"retry", "lateStart"})
-			t.run.state = stopping
+			t.run.state, t.run.endBy = stopping, now
 			s.sendStop(now, other, t.run)
 		}
 	}
--- a/entry/placer/orphan.go
+++ b/entry/placer/orphan.go
@@ -23,6 +23,8 @@
 	switch {
 	case r.stopAttempts < 0:
 		return time.Time{}, false
+	case !r.endBy.IsZero():
+		return r.endBy, true
 	case r.job == nil:
 		return r.orphanedAt.Add(orphanLease), true
 	default:
--- a/entry/placer/run.go
+++ b/entry/placer/run.go
@@ -48,6 +48,9 @@
 	// orphanedAt is when a run without a job lost it. It is the earliest possible
 	// time for a run that was found on a worker, or zero if that is unknown.
 	orphanedAt time.Time
+	// endBy is the time from which the leases on the worker are not renewed until the run
+	// has ended, because its task may start elsewhere, or zero.
+	endBy time.Time
 	// stopSentAt is when the last stop request was sent, or when a stop was
 	// confirmed.
 	stopSentAt time.Time
