--- a/entry/placer/doc.go
+++ b/entry/placer/doc.go
@@ -126,7 +126,8 @@
 	// as held up on the way.
 	heldUpAge = 800 * time.Millisecond
 	// attestationAllowance is the age of the last attestation from which an owner reports
-	// the runs of a job as if they had lost it. An entry attests its jobs every 0.2 s.
+	// the runs of a job as if they had lost it. Attestations are up to 0.35 s old before
+	// the next one arrives.
 	attestationAllowance = orphanStopAllowance + jobLease - orphanLease
 	// orphanStopAllowance is how long before its loss the previous owner may have lost
 	// a job whose runs it had not stopped yet: two stop requests may get no answer.
