--- a/entry/elector/elector_test.go
+++ b/entry/elector/elector_test.go
@@ -417,3 +417,28 @@
 		}
 	}
 }
+
+// TestLateWorkers guards against several entries that claim the workers at the same time,
+// when the list of workers appears after all entries have started.
+func TestLateWorkers(t *testing.T) {
+	for seed := range int64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			net := newNetwork(seed, 0)
+			for i := range 8 {
+				net.add(&entry{group: "all", assignedAfter: 3 * time.Second, member: elector.Member{Name: fmt.Sprint(i), Address: address(i)}})
+			}
+			for i := range net.entries {
+				net.start(i)
+			}
+			claims := 0
+			net.run(8 * time.Second)
+			for _, e := range net.entries {
+				claims += e.claims
+			}
+			if claims != 1 {
+				t.Errorf("%d claims, want 1", claims)
+			}
+			net.checkConverged(t)
+		})
+	}
+}
--- a/entry/elector/network_test.go
+++ b/entry/elector/network_test.go
@@ -36,6 +36,9 @@
 	followed []string
 	// group and groupDomain are assigned to the entry after its start.
 	group, groupDomain string
+	// assignedAfter is how long after its start the entry is assigned to its group at the
+	// earliest.
+	assignedAfter time.Duration
 	// messageTime is the CPU time that the process spends on each message, and
 	// busyUntil the time until which it handles earlier ones.
 	messageTime time.Duration
@@ -118,7 +121,7 @@
 }
 
 func (n *network) assignGroup(i int, process *elector.State) {
-	n.schedule(time.Duration(n.random.Intn(100))*time.Millisecond, func() {
+	n.schedule(n.entries[i].assignedAfter+time.Duration(n.random.Intn(100))*time.Millisecond, func() {
 		e := n.entries[i]
 		switch {
 		case e.state != process:
--- a/entry/placer/attestation_test.go
+++ b/entry/placer/attestation_test.go
@@ -1,6 +1,7 @@
 package placer_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -50,16 +51,26 @@
 // although it has not heard from the job's entry, and against one that ends other jobs on
 // the same worker for that.
 func TestRunsOfSilentEntry(t *testing.T) {
-	for name, lostStops := range map[string]float64{"stops arrive": 0, "stops get lost": 1} {
+	for name, c := range map[string]struct {
+		lostStops float64
+		// heldUp delays the last heartbeat of the entry.
+		heldUp time.Duration
+	}{
+		"stops arrive":                   {},
+		"stops get lost":                 {lostStops: 1},
+		"the last heartbeat was held up": {lostStops: 1, heldUp: 900 * time.Millisecond},
+	} {
 		t.Run(name, func(t *testing.T) {
 			s, groups := silentEntry()
-			s.faults.lostStops = lostStops
+			s.faults.lostStops = c.lostStops
+			last := placer.JobsAttested{Entry: s.entryName(s.lastWaiter), At: s.now.Add(400 * time.Millisecond), Jobs: []string{"j0001"}}
+			s.schedule(500*time.Millisecond+c.heldUp, func(time.Time) { s.deliver(groups[0].owner, last) })
 			s.run(3 * time.Second)
 			s.checkNoSecondRuns(t)
 			if s.starts["j0001.0.0.0"] != 2 {
 				t.Errorf("the task was started %d times, want 2", s.starts["j0001.0.0.0"])
 			}
-			if lostStops == 0 && (!groups[0].owner.state.HasJob("j0000") || s.starts["j0000.0.0.0"] != 1) {
+			if c.lostStops == 0 && (!groups[0].owner.state.HasJob("j0000") || s.starts["j0000.0.0.0"] != 1) {
 				t.Error("the other job was disturbed")
 			}
 		})
@@ -80,6 +91,42 @@
 	s.checkNoSecondRuns(t)
 }
 
+// TestSpilledJobOfReplacedOwner guards against runs that outlive a job which was passed on
+// to another worker group, when the owner there hands over or is lost: the entry answers
+// its caller, and does not look for the next owner of that group.
+func TestSpilledJobOfReplacedOwner(t *testing.T) {
+	for name, planned := range map[string]bool{"handed over": true, "lost": false} {
+		for _, lostStops := range []float64{0, 1} {
+			t.Run(fmt.Sprintf("%s, lost stops %v", name, lostStops), func(t *testing.T) {
+				s, groups := newGroups(1, 1, 1)
+				task := executor.Task{CPU: 20000, Duration: 9 * time.Second}
+				job := newJob("j0000", 1, task.CPU, 9000)
+				job.RemainingMs = 20_000
+				s.attests = true
+				j := s.submit(groups[0].owner, job, task)
+				s.run(300 * time.Millisecond)
+				s.faults.lostStops = lostStops
+				former := groups[0].owner
+				next := s.addOwner(groups[0].machines)
+				if planned {
+					s.deliver(former, placer.Release{Moved: true, Reason: "planned"})
+				} else {
+					former.crashed = true
+					s.run(500 * time.Millisecond)
+				}
+				s.deliver(next, placer.Claim{WallMs: s.now.UnixMilli() + 1000, PreviousOwnerHeardAt: former.orphansSince})
+				s.run(resubmitDelay)
+				s.resubmit(groups[1].owner, j)
+				s.run(2 * time.Second)
+				s.checkNoSecondRuns(t)
+				if s.starts["j0000.0.0.0"] != 2 {
+					t.Errorf("the task was started %d times, want 2", s.starts["j0000.0.0.0"])
+				}
+			})
+		}
+	}
+}
+
 // TestJobNotWaitedFor guards against an owner that keeps a job which its entry has given
 // up, and against one that ends a job because of an attestation from before the job was
 // sent, or from another entry.
