soak: each run saves its logs under a name of its own

Both cases of TestSilentConnectionToOwner saved theirs in the same directory, so that those of the second one were lost. Checks are unchanged.

--- a/soak/silence_test.go
+++ b/soak/silence_test.go
@@ -19,7 +19,7 @@
 	for _, spilled := range []bool{false, true} {
 		t.Run(fmt.Sprintf("in another group %v", spilled), func(t *testing.T) {
 			d := deploy(t, program, layout{entries: 6, workers: groupedWorkers, workerCPU: 64000, domains: 2, cpuShares: []float64{groupedCPUShare}})
-			defer d.reportViolations(int64(firstGroupedSeed))
+			defer d.reportViolations(fmt.Sprintf("silent-connection-%v", spilled))
 			d.awaitService("the start")
 			followers := d.othersInDomain(d.awaitOwner(0))
 			entry, next := followers[0], d.awaitOwner(1)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -105,7 +105,7 @@
 
 func runSeed(t *testing.T, program string, seed int64) {
 	d := deploy(t, program, layoutOf(seed))
-	defer d.reportViolations(seed)
+	defer d.reportViolations(fmt.Sprint(seed))
 	d.awaitService("the start")
 	r := rand.New(rand.NewSource(seed))
 	callers := &callers{d: d, log: d.createLog("callers"), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
@@ -138,19 +138,19 @@
 
 // reportViolations fails the test for each violation that the workers have observed,
 // and saves the logs of a run that has failed.
-func (d *deployment) reportViolations(seed int64) {
+func (d *deployment) reportViolations(run string) {
 	for _, v := range d.fleet.Violations() {
 		d.t.Error(v)
 	}
 	if d.t.Failed() || os.Getenv("GODWIT_KEEP") != "" {
-		d.saveLogs(seed)
+		d.saveLogs(run)
 	}
 }
 
 // saveLogs copies the logs of a failed run to a directory that is not deleted
 // after the test.
-func (d *deployment) saveLogs(seed int64) {
-	dir := filepath.Join(os.TempDir(), fmt.Sprintf("godwit-soak-%d", seed))
+func (d *deployment) saveLogs(run string) {
+	dir := filepath.Join(os.TempDir(), "godwit-soak-"+run)
 	if err := os.CopyFS(dir, os.DirFS(d.dir)); err != nil {
 		d.t.Logf("saving the logs: %v", err)
 		return
