--- /dev/null
+++ b/review/stand-2/runner.go
@@ -0,0 +1,369 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	holdMax     = time.Second
+	stopTakes   = 5 * time.Millisecond
+	beatEvery   = 1500 * time.Millisecond
+	maxListEnds = 500
+)
+
+type runKey struct {
+	task   string
+	number int64
+}
+
+type run struct {
+	key       runKey
+	spec      string
+	startedAt time.Time
+	takes     time.Duration
+	cpu       int64
+}
+
+type ended struct {
+	index int64
+	key   runKey
+	how   string
+}
+
+// runner is a worker of the platform: a server with one address and id, and one life
+// after the other. A Spec of the form "ms=N cpu=N ..." says how long a task takes.
+type runner struct {
+	id, address, service, zone string
+	cpu                        int64
+	rec                        *record
+	store                      *store
+
+	mu       sync.Mutex
+	up       bool
+	kind     string
+	rack     string
+	draining bool
+	born     time.Time
+	server   *http.Server
+	fence    int64
+	leaseEnd time.Time
+	runs     map[runKey]*run
+	ends     []ended
+	nextEnd  int64
+	highest  map[string]int64
+	sequence int64
+	changed  chan struct{}
+	stopBeat context.CancelFunc
+	// started, if set, is called when the runner has begun a run, with the lock held.
+	started func(*runner, *run)
+}
+
+// boot begins a new life of the runner.
+func (r *runner) boot(kind string) error {
+	ln, err := net.Listen("tcp", r.address)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.up, r.kind, r.draining = true, kind, false
+	r.born = time.Now()
+	r.fence, r.leaseEnd, r.runs, r.ends, r.nextEnd, r.highest = 0, time.Time{}, map[runKey]*run{}, nil, 1, map[string]int64{}
+	r.sequence, r.changed = 0, make(chan struct{})
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stopBeat = cancel
+	server, born := r.server, r.born
+	r.mu.Unlock()
+	r.rec.add("runner %s begins a life: kind %s, born %d", r.id, kind, born.UnixMilli())
+	go func() { _ = server.Serve(ln) }()
+	go r.expireLeases(ctx)
+	r.beat()
+	go func() {
+		for {
+			select {
+			case <-time.After(beatEvery):
+				r.beat()
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return nil
+}
+
+// crash ends the life of the runner: its connections break and its runs are gone.
+func (r *runner) crash() {
+	r.mu.Lock()
+	r.up = false
+	r.stopBeat()
+	server := r.server
+	n := len(r.runs)
+	r.runs = map[runKey]*run{}
+	close(r.changed)
+	r.changed = make(chan struct{})
+	r.mu.Unlock()
+	_ = server.Close()
+	r.rec.add("runner %s crashes with %d runs", r.id, n)
+}
+
+// beat writes the runner's entry.
+func (r *runner) beat() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.up {
+		return
+	}
+	r.sequence++
+	state := "ready"
+	if r.draining {
+		state = "draining"
+	}
+	entry := map[string]any{
+		"Service": r.service, "Address": r.address, "Zone": r.zone, "Version": "v1", "Capacity": 8, "State": state, "ColdLeftMs": 0,
+		"FreeCapacity": map[string]int64{"Cpu": r.cpu, "MemMb": 262144, "Gpu": 0}, "Labels": []string{r.kind, r.rack},
+		"ClockMs": r.clock(time.Now()), "Sequence": r.sequence, "born": r.born.UnixMilli(),
+	}
+	data, err := json.Marshal(entry)
+	if err != nil {
+		panic(err)
+	}
+	r.store.put("keyed.servers", r.id, data)
+	if r.sequence == 1 || r.draining {
+		r.rec.add("runner %s wrote its entry: kind %s, born %d, %s", r.id, r.kind, r.born.UnixMilli(), state)
+	}
+}
+
+func (r *runner) clock(now time.Time) int64 { return now.Sub(r.born).Milliseconds() + 1000 }
+
+// settle ends the runs that are over by now.
+func (r *runner) settle(now time.Time) {
+	var list []*run
+	for _, x := range r.runs {
+		list = append(list, x)
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].startedAt.Before(list[b].startedAt) })
+	for _, x := range list {
+		at := x.startedAt.Add(x.takes)
+		switch {
+		case !at.After(now) && !at.After(r.leaseEnd):
+			r.end(x, "done")
+		case !r.leaseEnd.After(now):
+			r.end(x, "lapsed")
+		}
+	}
+}
+
+func (r *runner) end(x *run, how string) {
+	if r.runs[x.key] != x {
+		return
+	}
+	delete(r.runs, x.key)
+	r.ends = append(r.ends, ended{r.nextEnd, x.key, how})
+	r.nextEnd++
+	r.highest[x.key.task] = max(r.highest[x.key.task], x.key.number)
+	if how != "done" {
+		r.rec.add("runner %s: run %s/%d ended %s", r.id, x.key.task, x.key.number, how)
+	}
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *runner) expireLeases(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(2 * time.Millisecond)
+		r.mu.Lock()
+		if r.up {
+			r.settle(time.Now())
+		}
+		r.mu.Unlock()
+	}
+}
+
+func (r *runner) extend(now time.Time, until int64) {
+	end := now.Add(min(time.Duration(until-r.clock(now))*time.Millisecond, holdMax))
+	if end.After(r.leaseEnd) {
+		r.leaseEnd = end
+	}
+}
+
+type order struct {
+	Task         string
+	RunID        int64 `json:"RunId"`
+	Spec         string
+	UntilMs      int64
+	FencingToken int64
+	LastSeen     int64
+	WaitMs       int64
+}
+
+func (r *runner) serve(w http.ResponseWriter, req *http.Request) {
+	var o order
+	if err := json.NewDecoder(req.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if want := req.Header.Get("X-Expect-Instance"); want != "" && want != r.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch req.URL.Path {
+	case "/godwitrelay/run-start":
+		r.answer(w, r.start(o))
+	case "/godwitrelay/run-stop":
+		time.Sleep(stopTakes)
+		r.answer(w, r.stop(o))
+	case "/godwitrelay/hold":
+		r.hold(w, req, o)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (r *runner) answer(w http.ResponseWriter, reason string) {
+	r.mu.Lock()
+	clock, born := r.clock(time.Now()), r.born.UnixMilli()
+	r.mu.Unlock()
+	if reason == "" {
+		writeJSON(w, http.StatusOK, map[string]any{"ClockMs": clock, "born": born})
+		return
+	}
+	writeJSON(w, http.StatusConflict, map[string]any{"ClockMs": clock, "Reason": reason, "born": born})
+}
+
+func (r *runner) start(o order) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if !r.up {
+		return "down"
+	}
+	r.settle(now)
+	if o.FencingToken < r.fence {
+		return "fence"
+	}
+	r.fence = o.FencingToken
+	key := runKey{o.Task, o.RunID}
+	if r.runs[key] != nil {
+		return ""
+	}
+	cpu, _ := strconv.ParseInt(field(o.Spec, "cpu"), 10, 64)
+	r.extend(now, o.UntilMs)
+	used := int64(0)
+	for _, x := range r.runs {
+		used += x.cpu
+	}
+	switch {
+	case o.RunID <= r.highest[o.Task]:
+		return "old"
+	case o.UntilMs <= r.clock(now):
+		return "late"
+	case used+cpu > r.cpu:
+		return "room"
+	}
+	ms, _ := strconv.ParseInt(field(o.Spec, "ms"), 10, 64)
+	x := &run{key: key, spec: o.Spec, startedAt: now, takes: time.Duration(ms) * time.Millisecond, cpu: cpu}
+	r.runs[key] = x
+	if r.started != nil {
+		r.started(r, x)
+	}
+	return ""
+}
+
+func (r *runner) stop(o order) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.up {
+		return "down"
+	}
+	r.settle(time.Now())
+	if o.FencingToken < r.fence {
+		return "fence"
+	}
+	r.fence = o.FencingToken
+	r.highest[o.Task] = max(r.highest[o.Task], o.RunID)
+	if x := r.runs[runKey{o.Task, o.RunID}]; x != nil {
+		r.end(x, "stopped")
+	}
+	return ""
+}
+
+func (r *runner) hold(w http.ResponseWriter, req *http.Request, o order) {
+	now := time.Now()
+	r.mu.Lock()
+	if !r.up {
+		r.mu.Unlock()
+		return
+	}
+	r.settle(now)
+	if o.FencingToken < r.fence {
+		r.mu.Unlock()
+		r.answer(w, "fence")
+		return
+	}
+	r.fence = o.FencingToken
+	if o.UntilMs > 0 {
+		r.extend(now, o.UntilMs)
+	}
+	kept := r.ends[:0]
+	for _, e := range r.ends {
+		if e.index > o.LastSeen {
+			kept = append(kept, e)
+		}
+	}
+	r.ends = kept
+	deadline := time.After(time.Duration(o.WaitMs) * time.Millisecond)
+	for o.WaitMs > 0 && len(r.ends) == 0 && r.up {
+		changed := r.changed
+		r.mu.Unlock()
+		over := false
+		select {
+		case <-changed:
+		case <-deadline:
+			over = true
+		case <-req.Context().Done():
+			return
+		}
+		r.mu.Lock()
+		if over {
+			break
+		}
+	}
+	now = time.Now()
+	r.settle(now)
+	if o.FencingToken < r.fence {
+		r.mu.Unlock()
+		r.answer(w, "fence")
+		return
+	}
+	running, ends := [][]any{}, [][]any{}
+	for _, x := range r.runs {
+		running = append(running, []any{x.key.task, x.key.number, "", min(100*now.Sub(x.startedAt)/max(x.takes, 1), 99), x.cpu})
+	}
+	for _, e := range r.ends[:min(len(r.ends), maxListEnds)] {
+		ends = append(ends, []any{e.index, e.key.task, e.key.number, e.how, ""})
+	}
+	body := map[string]any{"ClockMs": r.clock(now), "born": r.born.UnixMilli(), "Running": running, "EndedRuns": ends}
+	r.mu.Unlock()
+	writeJSON(w, http.StatusOK, body)
+}
+
+// field returns the value of name=value in a Spec.
+func field(spec, name string) string {
+	for _, f := range strings.Fields(spec) {
+		if v, ok := strings.CutPrefix(f, name+"="); ok {
+			return v
+		}
+	}
+	return ""
+}
+
+func runnerName(i int) string { return fmt.Sprintf("i-%04x", 0x7f30+i) }
