Review: case 6, a late start at a worker that is back behind a cut (TWICE)

A task whose start got no answer starts elsewhere; its first worker is cut off, crashes and is back within 0.2 s, and carries the start out before it counts as lost. The stand-ins learn to cut a runner off and to hold starts up.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -21,6 +21,12 @@
 	"kind":   kindCase,
 	"cancel": cancelCase,
 	"drop":   dropCase,
+	"starts": func(rec *record, program string, trouble bool) error {
+		return lateCase(rec, program, trouble, 2, true)
+	},
+	"behind": func(rec *record, program string, trouble bool) error {
+		return lateCase(rec, program, trouble, 1, false)
+	},
 }
 
 func main() {
--- a/review/stand-2/runner.go
+++ b/review/stand-2/runner.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -31,6 +32,8 @@
 	startedAt time.Time
 	takes     time.Duration
 	cpu       int64
+	// over is set once the run has ended.
+	over atomic.Bool
 }
 
 type ended struct {
@@ -63,6 +66,13 @@
 	sequence int64
 	changed  chan struct{}
 	stopBeat context.CancelFunc
+	// life counts the lives of the runner. While it is cut off, healed is open, and no
+	// request is read and no answer sent.
+	life   int
+	healed chan struct{}
+	// lateFor, if set, says for how long a start is held up before it is carried out. Such a
+	// start gets no answer.
+	lateFor func(r *runner, key runKey) (time.Duration, bool)
 	// started, if set, is called when the runner has begun a run, with the lock held.
 	started func(*runner, *run)
 }
@@ -74,16 +84,12 @@
 		return err
 	}
 	r.mu.Lock()
-	r.up, r.kind, r.draining = true, kind, false
-	r.born = time.Now()
-	r.fence, r.leaseEnd, r.runs, r.ends, r.nextEnd, r.highest = 0, time.Time{}, map[runKey]*run{}, nil, 1, map[string]int64{}
-	r.sequence, r.changed = 0, make(chan struct{})
+	r.begin(kind)
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stopBeat = cancel
-	server, born := r.server, r.born
+	server := r.server
 	r.mu.Unlock()
-	r.rec.add("runner %s begins a life: kind %s, born %d", r.id, kind, born.UnixMilli())
 	go func() { _ = server.Serve(ln) }()
 	go r.expireLeases(ctx)
 	r.beat()
@@ -100,6 +106,16 @@
 	return nil
 }
 
+// begin begins a new life, with the lock held.
+func (r *runner) begin(kind string) {
+	r.up, r.kind, r.draining = true, kind, false
+	r.life++
+	r.born = time.Now()
+	r.fence, r.leaseEnd, r.runs, r.ends, r.nextEnd, r.highest = 0, time.Time{}, map[runKey]*run{}, nil, 1, map[string]int64{}
+	r.sequence, r.changed = 0, make(chan struct{})
+	r.rec.add("runner %s begins a life: kind %s, born %d", r.id, kind, r.born.UnixMilli())
+}
+
 // crash ends the life of the runner: its connections break and its runs are gone.
 func (r *runner) crash() {
 	r.mu.Lock()
@@ -107,6 +123,9 @@
 	r.stopBeat()
 	server := r.server
 	n := len(r.runs)
+	for _, x := range r.runs {
+		x.over.Store(true)
+	}
 	r.runs = map[runKey]*run{}
 	close(r.changed)
 	r.changed = make(chan struct{})
@@ -115,6 +134,64 @@
 	r.rec.add("runner %s crashes with %d runs", r.id, n)
 }
 
+// cutOff partitions the runner from all machines of the system. It still reaches the store.
+func (r *runner) cutOff() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.healed = make(chan struct{})
+	r.rec.add("runner %s is cut off", r.id)
+}
+
+// heal ends the partition. Connections to an earlier life are reset.
+func (r *runner) heal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.healed)
+	r.healed = nil
+	r.rec.add("runner %s is reached again", r.id)
+}
+
+// crashBehindCut ends the life of a runner that is cut off. Nobody sees its connections
+// break.
+func (r *runner) crashBehindCut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.up = false
+	r.rec.add("runner %s crashes behind the cut with %d runs", r.id, len(r.runs))
+	for _, x := range r.runs {
+		x.over.Store(true)
+	}
+	r.runs = map[runKey]*run{}
+}
+
+// rebornBehindCut begins the next life of a runner that has crashed behind a cut.
+func (r *runner) rebornBehindCut() {
+	r.mu.Lock()
+	changed := r.changed
+	r.begin(r.kind)
+	close(changed)
+	r.mu.Unlock()
+	r.beat()
+}
+
+// awaitHeal waits while the runner is cut off. It reports false for a connection that does
+// not outlast the cut.
+func (r *runner) awaitHeal(ctx context.Context, life int) bool {
+	r.mu.Lock()
+	healed := r.healed
+	r.mu.Unlock()
+	if healed != nil {
+		select {
+		case <-healed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.life == life
+}
+
 // beat writes the runner's entry.
 func (r *runner) beat() {
 	r.mu.Lock()
@@ -167,6 +244,7 @@
 		return
 	}
 	delete(r.runs, x.key)
+	x.over.Store(true)
 	r.ends = append(r.ends, ended{r.nextEnd, x.key, how})
 	r.nextEnd++
 	r.highest[x.key.task] = max(r.highest[x.key.task], x.key.number)
@@ -206,37 +284,67 @@
 }
 
 func (r *runner) serve(w http.ResponseWriter, req *http.Request) {
+	r.mu.Lock()
+	life := r.life
+	r.mu.Unlock()
+	if !r.awaitHeal(req.Context(), life) {
+		panic(http.ErrAbortHandler)
+	}
 	var o order
 	if err := json.NewDecoder(req.Body).Decode(&o); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	if want := req.Header.Get("X-Expect-Instance"); want != "" && want != r.id {
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		r.reply(w, req, life, http.StatusMisdirectedRequest, map[string]any{})
 		return
 	}
 	switch req.URL.Path {
 	case "/godwitrelay/run-start":
-		r.answer(w, r.start(o))
+		r.serveStart(w, req, life, o)
 	case "/godwitrelay/run-stop":
 		time.Sleep(stopTakes)
-		r.answer(w, r.stop(o))
+		r.answer(w, req, life, r.stop(o))
 	case "/godwitrelay/hold":
-		r.hold(w, req, o)
+		r.hold(w, req, life, o)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
 }
 
-func (r *runner) answer(w http.ResponseWriter, reason string) {
+func (r *runner) serveStart(w http.ResponseWriter, req *http.Request, life int, o order) {
+	key := runKey{o.Task, o.RunID}
+	if r.lateFor != nil {
+		if d, ok := r.lateFor(r, key); ok {
+			r.rec.add("runner %s: the start of %s/%d is held up for %d ms", r.id, key.task, key.number, d.Milliseconds())
+			time.AfterFunc(d, func() {
+				r.rec.add("runner %s carries the start of %s/%d out: %q", r.id, key.task, key.number, r.start(o))
+			})
+			<-req.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+	}
+	r.answer(w, req, life, r.start(o))
+}
+
+// answer answers an order. reason is empty if it was carried out.
+func (r *runner) answer(w http.ResponseWriter, req *http.Request, life int, reason string) {
 	r.mu.Lock()
-	clock, born := r.clock(time.Now()), r.born.UnixMilli()
+	body := map[string]any{"ClockMs": r.clock(time.Now()), "born": r.born.UnixMilli()}
 	r.mu.Unlock()
-	if reason == "" {
-		writeJSON(w, http.StatusOK, map[string]any{"ClockMs": clock, "born": born})
-		return
+	status := http.StatusOK
+	if reason != "" {
+		status, body["Reason"] = http.StatusConflict, reason
 	}
-	writeJSON(w, http.StatusConflict, map[string]any{"ClockMs": clock, "Reason": reason, "born": born})
+	r.reply(w, req, life, status, body)
+}
+
+// reply sends a response if the connection outlasts the cut, if there is one.
+func (r *runner) reply(w http.ResponseWriter, req *http.Request, life, status int, body any) {
+	if !r.awaitHeal(req.Context(), life) {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, status, body)
 }
 
 func (r *runner) start(o order) string {
@@ -296,17 +404,13 @@
 	return ""
 }
 
-func (r *runner) hold(w http.ResponseWriter, req *http.Request, o order) {
+func (r *runner) hold(w http.ResponseWriter, req *http.Request, life int, o order) {
 	now := time.Now()
 	r.mu.Lock()
-	if !r.up {
-		r.mu.Unlock()
-		return
-	}
 	r.settle(now)
 	if o.FencingToken < r.fence {
 		r.mu.Unlock()
-		r.answer(w, "fence")
+		r.answer(w, req, life, "fence")
 		return
 	}
 	r.fence = o.FencingToken
@@ -321,10 +425,9 @@
 	}
 	r.ends = kept
 	deadline := time.After(time.Duration(o.WaitMs) * time.Millisecond)
-	for o.WaitMs > 0 && len(r.ends) == 0 && r.up {
+	for over := o.WaitMs == 0; !over && len(r.ends) == 0 && r.life == life; {
 		changed := r.changed
 		r.mu.Unlock()
-		over := false
 		select {
 		case <-changed:
 		case <-deadline:
@@ -333,15 +436,12 @@
 			return
 		}
 		r.mu.Lock()
-		if over {
-			break
-		}
 	}
 	now = time.Now()
 	r.settle(now)
 	if o.FencingToken < r.fence {
 		r.mu.Unlock()
-		r.answer(w, "fence")
+		r.answer(w, req, life, "fence")
 		return
 	}
 	running, ends := [][]any{}, [][]any{}
@@ -353,7 +453,7 @@
 	}
 	body := map[string]any{"ClockMs": r.clock(now), "born": r.born.UnixMilli(), "Running": running, "EndedRuns": ends}
 	r.mu.Unlock()
-	writeJSON(w, http.StatusOK, body)
+	r.reply(w, req, life, http.StatusOK, body)
 }
 
 // field returns the value of name=value in a Spec.
