--- a/review/stand-2/runner.go
+++ b/review/stand-2/runner.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	holdMax     = time.Second
-	stopTakes   = 5 * time.Millisecond
+	holdMax   = time.Second
+	stopTakes = 5 * time.Millisecond
+	// beatEvery is HeartbeatMs.
 	beatEvery   = 1500 * time.Millisecond
 	maxListEnds = 500
 )
@@ -54,7 +55,6 @@
 	up       bool
 	kind     string
 	rack     string
-	draining bool
 	born     time.Time
 	server   *http.Server
 	fence    int64
@@ -108,7 +108,7 @@
 
 // begin begins a new life, with the lock held.
 func (r *runner) begin(kind string) {
-	r.up, r.kind, r.draining = true, kind, false
+	r.up, r.kind = true, kind
 	r.life++
 	r.born = time.Now()
 	r.fence, r.leaseEnd, r.runs, r.ends, r.nextEnd, r.highest = 0, time.Time{}, map[runKey]*run{}, nil, 1, map[string]int64{}
@@ -200,12 +200,8 @@
 		return
 	}
 	r.sequence++
-	state := "ready"
-	if r.draining {
-		state = "draining"
-	}
 	entry := map[string]any{
-		"Service": r.service, "Address": r.address, "Zone": r.zone, "Version": "v1", "Capacity": 8, "State": state, "ColdLeftMs": 0,
+		"Service": r.service, "Address": r.address, "Zone": r.zone, "Version": "v1", "Capacity": 8, "State": "ready", "ColdLeftMs": 0,
 		"FreeCapacity": map[string]int64{"Cpu": r.cpu, "MemMb": 262144, "Gpu": 0}, "Labels": []string{r.kind, r.rack},
 		"ClockMs": r.clock(time.Now()), "Sequence": r.sequence, "born": r.born.UnixMilli(),
 	}
@@ -214,8 +210,8 @@
 		panic(err)
 	}
 	r.store.put("keyed.servers", r.id, data)
-	if r.sequence == 1 || r.draining {
-		r.rec.add("runner %s wrote its entry: kind %s, born %d, %s", r.id, r.kind, r.born.UnixMilli(), state)
+	if r.sequence == 1 {
+		r.rec.add("runner %s wrote its entry: kind %s, born %d", r.id, r.kind, r.born.UnixMilli())
 	}
 }
 
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -37,8 +37,6 @@
 	runners []*runner
 	entries []*entry
 	zones   []string
-	// memoryMb is the limit in the settings of an entry.
-	memoryMb int
 }
 
 // entry is one process of the project's own program, on its own loopback address.
@@ -47,7 +45,6 @@
 	cmd            *exec.Cmd
 	log            *os.File
 	ended          chan struct{}
-	endedAs        string
 }
 
 func newSite(rec *record, program string) (*site, error) {
@@ -55,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{rec: rec, dir: dir, program: program, store: newStore(), zones: []string{"kalimati", "patan"}, memoryMb: 284}
+	s := &site{rec: rec, dir: dir, program: program, store: newStore(), zones: []string{"kalimati", "patan"}}
 	p := make([]int, 0, 3)
 	for range 3 {
 		port, err := freePort(1)
@@ -174,7 +171,6 @@
 	}
 	go func() {
 		err := e.cmd.Wait()
-		e.endedAs = fmt.Sprint(err)
 		s.rec.add("process %s has ended: %v", e.name, err)
 		close(e.ended)
 	}()
@@ -216,7 +212,7 @@
 [Limits]
 CpuShare = 0.4
 Cores = 1
-MemoryMb = %d
+MemoryMb = 284
 MaxFds = 4100
 LinkMbps = 1000.0
 DiskMb = 0
@@ -238,7 +234,7 @@
 WritesPerS = 800
 ReadsPerS = 2000
 `, e.name, e.ip, e.zone, s.ports.first, s.ports.first+1, s.ports.control, s.ports.control, s.ports.control,
-		zones, e.ip, s.ports.front, e.ip, s.ports.ready, e.ip, s.ports.control, s.memoryMb, s.storeAt)
+		zones, e.ip, s.ports.front, e.ip, s.ports.ready, e.ip, s.ports.control, s.storeAt)
 }
 
 func (s *site) front(i int) string { return fmt.Sprintf("127.0.1.%d:%d", i+1, s.ports.front) }
@@ -283,10 +279,6 @@
 		_ = e.cmd.Process.Kill()
 		<-e.ended
 	}
-	if os.Getenv("KEEP") != "" {
-		fmt.Println("logs:", s.dir)
-		return
-	}
 	_ = os.RemoveAll(s.dir)
 }
 
@@ -302,7 +294,6 @@
 	cpu      int64
 	takes    time.Duration
 	label    string
-	perOne   int
 	patience time.Duration
 }
 
@@ -311,9 +302,6 @@
 	if j.label != "" {
 		step["Requirements"] = j.label
 	}
-	if j.perOne > 0 {
-		step["AntiAffinity"] = j.perOne
-	}
 	data, err := json.Marshal(map[string]any{
 		"Spec": fmt.Sprintf("ms=%d cpu=%d label=%s job=%s", j.takes.Milliseconds(), j.cpu, j.label, j.id), "Opportunistic": true, "Steps": []any{step},
 	})
