--- a/review/stand-2/cancel.go
+++ b/review/stand-2/cancel.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
@@ -16,12 +17,17 @@
 	lossSlack    = 200 * time.Millisecond
 	graceS       = 6 * time.Second
 	cancelRounds = 2
-	// jobsEach is how many jobs a client hands in. It cancels the last one.
-	jobsEach = 3
+	// jobsEach is how many jobs a client hands in that end in time.
+	jobsEach = 12
+	// slowTakes is how long the task of a client's last job takes, slowEstimate what the
+	// client gives as its estimate, and slowPatience how long the client waits.
+	slowTakes    = 2 * time.Second
+	slowEstimate = 1200 * time.Millisecond
+	slowPatience = 1500 * time.Millisecond
 )
 
-// cancelCase stops processes in turn, 2 s apart, and cancels jobs that have ended over
-// connections that were open before.
+// cancelCase stops processes in turn, 2 s apart. Clients whose last job was not answered in
+// time withdraw it, over connections that were open before.
 func cancelCase(rec *record, program string, trouble bool) error {
 	s, err := newSite(rec, program)
 	if err != nil {
@@ -46,30 +52,47 @@
 	time.Sleep(3 * time.Second)
 	var answered atomic.Int64
 	for round := range cancelRounds {
-		// Jobs that have ended, one for each connection.
 		type client struct {
 			conn  net.Conn
 			id    string
 			entry int
 		}
 		var clients []client
+		type failure struct {
+			id  string
+			err error
+		}
+		failures := make(chan failure, processes*6)
 		for i := range processes {
 			for k := range 6 {
-				c := client{entry: i}
+				c := client{entry: i, id: fmt.Sprintf("%016x", 0x5c0e000000000000+jobsEach<<24+round<<16+i<<8+k)}
 				c.conn, err = net.Dial("tcp", s.front(i))
 				if err != nil {
 					return err
 				}
-				for n := range jobsEach {
-					c.id = fmt.Sprintf("%016x", 0x5c0e000000000000+n<<24+round<<16+i<<8+k)
-					j := job{id: c.id, count: 1, cpu: 1000, takes: 20 * time.Millisecond, patience: 1500 * time.Millisecond}
-					status, err := exchange(c.conn, fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nX-Time-Remaining: 1500\r\nContent-Length: %d\r\n\r\n%s", prefix, c.id, host, len(j.body()), j.body()))
-					rec.add("job %s at process %d: %d %v", c.id, i, status, err)
-					if err != nil || status != http.StatusOK {
-						return fmt.Errorf("job %s: status %d, %w", c.id, status, err)
-					}
-				}
 				clients = append(clients, c)
+				go func() {
+					for n := range jobsEach {
+						id := fmt.Sprintf("%016x", 0x5c0e000000000000+n<<24+round<<16+i<<8+k)
+						j := job{id: id, count: 1, cpu: 1000, takes: 20 * time.Millisecond, patience: slowPatience}
+						if status, err := handIn(rec, c.conn, i, j, j.body()); err != nil || status != http.StatusOK {
+							failures <- failure{id, fmt.Errorf("status %d, %w", status, err)}
+							return
+						}
+					}
+					j := job{id: c.id, count: 1, cpu: 1000, takes: slowEstimate, patience: slowPatience}
+					body := bytes.Replace(j.body(), fmt.Appendf(nil, "ms=%d", slowEstimate.Milliseconds()), fmt.Appendf(nil, "ms=%d", slowTakes.Milliseconds()), 1)
+					status, err := handIn(rec, c.conn, i, j, body)
+					if err == nil && status != http.StatusGatewayTimeout {
+						err = fmt.Errorf("status %d, want 504", status)
+					}
+					failures <- failure{c.id, err}
+				}()
+			}
+		}
+		for range clients {
+			if f := <-failures; f.err != nil {
+				return fmt.Errorf("job %s: %w", f.id, f.err)
 			}
 		}
 		results := make(chan struct{}, len(clients))
@@ -138,6 +161,14 @@
 	return nil
 }
 
+// handIn hands a job in over a connection.
+func handIn(rec *record, c net.Conn, entry int, j job, body []byte) (int, error) {
+	status, err := exchange(c, fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nX-Time-Remaining: %d\r\nContent-Length: %d\r\n\r\n%s",
+		prefix, j.id, host, j.patience.Milliseconds(), len(body), body))
+	rec.add("job %s at process %d: %d %v", j.id, entry, status, err)
+	return status, err
+}
+
 // restartEnded starts entry i again if it has ended or once it ends.
 func (s *site) restartEnded(i int) error {
 	select {
