limiter: a request counts as served until its answer is written

Seen: nothing by callers so far; found in the code. A connection counted as not served from the return of the handler on, before net/http had written the answer. With all other connections being served, a new one could close it and the answer was lost, although the job had run. A planned stop closed all connections as soon as no job was in progress, with answers still to be written. A request that was complete but not yet counted as served ran although its connection had been closed for another one. And a client that sent requests and read nothing held its connection without a time limit.

Change: a connection is served until net/http reports it as idle. A complete request whose connection has been closed is not handled.

Evidence: TestCrowdOfConnections has the closed request, the unread answer and the answers that a stop waits for; it does not compile on the code before.

--- a/entry/limiter/body.go
+++ b/entry/limiter/body.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -37,8 +38,9 @@
 	paid     int64
 	complete bool
 	err      error
-	// onEnd is called once when the body has been read to its end.
-	onEnd func()
+	// onEnd is called once when the body has been read to its end. Reading fails if it
+	// returns false.
+	onEnd func() bool
 
 	// The budget's lock guards these fields while the budget has the body.
 	beganAt, progressAt time.Time
@@ -73,7 +75,9 @@
 	n, err := b.body.Read(p[:min(int64(len(p)), b.paid-b.read)])
 	b.read += int64(n)
 	if errors.Is(err, io.EOF) || b.read == b.announced {
-		b.end()
+		if !b.end() {
+			err = net.ErrClosed
+		}
 	}
 	if err != nil {
 		b.err = err
@@ -156,19 +160,17 @@
 func (b *Body) interrupt() { _ = b.setDeadline(time.Unix(1, 0)) }
 
 // end clears the deadline of a complete body: one that expired while the request is
-// served would cancel its context.
-func (b *Body) end() {
+// served would cancel its context. It returns false if the connection has been closed.
+func (b *Body) end() bool {
 	if b.complete {
-		return
+		return true
 	}
 	if b.complete = true; b.credit > 0 {
 		// The budget no longer interrupts the body from here on.
 		b.budget.remove(b)
 	}
 	_ = b.setDeadline(time.Time{})
-	if b.onEnd != nil {
-		b.onEnd()
-	}
+	return b.onEnd == nil || b.onEnd()
 }
 
 // Complete reports whether the body has been read to its end.
--- a/entry/limiter/conn.go
+++ b/entry/limiter/conn.go
@@ -33,6 +33,11 @@
 type conn struct {
 	*net.TCPConn
 	pool *pool
+	// answerTime limits the time of each write, unless it is 0.
+	answerTime time.Duration
+	// writesSince is the time at which the write in progress began, in nanoseconds since
+	// the Unix epoch, or 0 if there is none.
+	writesSince atomic.Int64
 	// inHead is set while the head of the next request is awaited or read, and head
 	// counts its bytes. An end of the head that is split between two reads is not seen;
 	// then bytes of the body count as well, until the request is served.
@@ -63,6 +68,24 @@
 	return n, err
 }
 
+// Write writes to the connection. It fails if the client does not take the data within
+// answerTime.
+func (c *conn) Write(p []byte) (int, error) {
+	now := time.Now()
+	if c.answerTime > 0 {
+		_ = c.SetWriteDeadline(now.Add(c.answerTime))
+	}
+	c.writesSince.Store(now.UnixNano())
+	defer c.writesSince.Store(0)
+	return c.TCPConn.Write(p)
+}
+
+// isUnread reports whether the client has not taken what is written to it for some time.
+func (c *conn) isUnread(now time.Time) bool {
+	since := c.writesSince.Load()
+	return since != 0 && now.Sub(time.Unix(0, since)) >= stalledAfter
+}
+
 // readHead counts bytes of the head, and reports whether they are within the limit.
 func (c *conn) readHead(data []byte) bool {
 	size := int64(len(data))
@@ -106,13 +129,16 @@
 }
 
 // add adds a new connection. It returns the one to close if there are too many now,
-// which is c itself if all others are being served.
+// which is c itself if all others are being served and read their answers.
 func (p *pool) add(now time.Time, c *conn) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var surplus *conn
 	if p.waiting.Len() >= p.limit {
 		if surplus = p.leastProgressed(func(*conn) bool { return true }); surplus == nil {
+			surplus = p.longestUnread(now)
+		}
+		if surplus == nil {
 			return c
 		}
 		p.drop(surplus)
@@ -135,6 +161,33 @@
 	return nil
 }
 
+// longestUnread returns the connection whose client has not taken its answer for the
+// longest, or nil. It answers the load of clients that send requests and read nothing.
+func (p *pool) longestUnread(now time.Time) *conn {
+	var longest *conn
+	for e := p.waiting.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*conn)
+		if c.isUnread(now) && (longest == nil || c.writesSince.Load() < longest.writesSince.Load()) {
+			longest = c
+		}
+	}
+	return longest
+}
+
+// unanswered returns the number of connections that are being served and read their
+// answers.
+func (p *pool) unanswered(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for e := p.waiting.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*conn); c.serving && !c.isUnread(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // countHead counts n bytes of the head of c, and closes connections with unfinished
 // heads if they are too many. It returns false if c itself is to be closed. It answers
 // the load of heads that stop short of their end, each within the limit for one.
@@ -181,14 +234,17 @@
 	c.counted = n
 }
 
-// startServing records that the request of c is complete.
-func (p *pool) startServing(c *conn) {
+// startServing records that the request of c is complete. It returns false if the
+// connection has been closed for another one.
+func (p *pool) startServing(c *conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.serving = true
+	c.serving = c.element != nil
+	return c.serving
 }
 
-// endServing records that a request of c, complete or not, has been answered.
+// endServing records that the answer to a request of c, complete or not, has been
+// written.
 func (p *pool) endServing(now time.Time, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/entry/limiter/limiter_test.go
+++ b/entry/limiter/limiter_test.go
@@ -83,11 +83,22 @@
 	expect("without a request for the longest", surplus, oldest)
 	_, surplus = add()
 	expect("answered before the others came", surplus, served)
+	if p.startServing(oldest) {
+		t.Error("the request of a closed connection is served")
+	}
 	for e := p.waiting.Front(); e != nil; e = e.Next() {
 		p.startServing(e.Value.(*conn))
 	}
 	c, surplus := add()
 	expect("all are being served", surplus, c)
+	served, serving = p.waiting.Front().Value.(*conn), p.waiting.Back().Value.(*conn)
+	serving.writesSince.Store(now.Add(-stalledAfter).UnixNano())
+	served.writesSince.Store(now.UnixNano())
+	if n := p.unanswered(now); n != p.limit-1 {
+		t.Errorf("%d requests are to be answered, want all but the unread one of %d", n, p.limit)
+	}
+	_, surplus = add()
+	expect("the answer is not read", surplus, serving)
 }
 
 // TestUnfinishedHeads guards against heads that stop short of their end, each within
--- a/entry/limiter/server.go
+++ b/entry/limiter/server.go
@@ -40,6 +40,11 @@
 	// IdleTime limits the time between two requests, and the time in which each 16 KB
 	// of a body must arrive.
 	IdleTime time.Duration
+	// BodyTime limits the time in which a body must arrive, unless it is 0.
+	BodyTime time.Duration
+	// AnswerTime limits the time in which a client must take each part of an answer. Its
+	// default is IdleTime.
+	AnswerTime time.Duration
 }
 
 // Server is an HTTP server with limits. Set the exported fields before use.
@@ -56,9 +61,9 @@
 	HeadBytes   int64
 	// Bodies bounds the bodies that are being read.
 	Bodies *Budget
-	// ReceiveBuffer is the size of the receive buffer of each connection, or 0 for
-	// that of the system.
-	ReceiveBuffer int
+	// ReceiveBuffer and SendBuffer are the sizes of the buffers of each connection, or 0
+	// for those of the system.
+	ReceiveBuffer, SendBuffer int
 	// WriteTime limits the time for a request and its answer, unless it is 0.
 	WriteTime time.Duration
 	// Report is called for everything that is refused or closed.
@@ -86,17 +91,20 @@
 // Listen opens the listener for Serve.
 func (s *Server) Listen(ctx context.Context) (net.Listener, error) {
 	cfg := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		if s.ReceiveBuffer == 0 {
-			return nil
-		}
-		// Accepted connections inherit it.
-		var err error
-		if controlErr := c.Control(func(fd uintptr) {
-			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, s.ReceiveBuffer)
-		}); controlErr != nil {
-			return controlErr
+		// Accepted connections inherit the sizes.
+		for option, size := range map[int]int{unix.SO_RCVBUF: s.ReceiveBuffer, unix.SO_SNDBUF: s.SendBuffer} {
+			if size == 0 {
+				continue
+			}
+			var err error
+			if controlErr := c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, option, size) }); controlErr != nil {
+				return controlErr
+			}
+			if err != nil {
+				return err
+			}
 		}
-		return err
+		return nil
 	}}
 	ln, err := cfg.Listen(ctx, "tcp", s.Addr)
 	return ln, errors.Wrapf(err, "listening on %s", s.Addr)
@@ -132,7 +140,7 @@
 			return err
 		}
 		delay = 0
-		if c := s.admit(time.Now(), accepted.(*net.TCPConn)); c != nil && !s.current().conns.offer(c) {
+		if c := s.admit(time.Now(), accepted.(*net.TCPConn)); c != nil && !s.current().take(c) {
 			_ = c.Close()
 		}
 	}
@@ -172,6 +180,7 @@
 	limits.HeaderBytes = cmp.Or(limits.HeaderBytes, DefaultHeaderBytes)
 	limits.HeaderTime = cmp.Or(limits.HeaderTime, DefaultHeaderTime)
 	limits.IdleTime = cmp.Or(limits.IdleTime, DefaultIdleTime)
+	limits.AnswerTime = cmp.Or(limits.AnswerTime, limits.IdleTime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, g := range s.generations {
@@ -192,6 +201,12 @@
 			}
 			return context.WithValue(ctx, connKey{}, c)
 		},
+		ConnState: func(c net.Conn, state http.ConnState) {
+			// The answer has been written.
+			if state == http.StateIdle {
+				s.pool.endServing(time.Now(), c.(*conn))
+			}
+		},
 	}
 	if s.stopped {
 		_ = g.conns.Close()
@@ -203,9 +218,16 @@
 	return g
 }
 
+// take passes a connection on to the server, and reports whether it took it.
+func (g *generation) take(c *conn) bool {
+	c.answerTime = g.limits.AnswerTime
+	return g.conns.offer(c)
+}
+
 type connKey struct{}
 
-// serve serves a request whose head has been read.
+// serve serves a request whose head has been read. It does not call the handler for a
+// complete request whose connection has been closed.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, g *generation) {
 	c := r.Context().Value(connKey{}).(*conn)
 	c.inHead.Store(false)
@@ -215,20 +237,21 @@
 	}
 	if r.ContentLength >= 0 && r.ContentLength <= c.buffered {
 		// The whole request has been read, at most the 4 KB of one read.
-		s.pool.startServing(c)
+		if !s.pool.startServing(c) {
+			panic(http.ErrAbortHandler)
+		}
 		s.Handler.ServeHTTP(w, r)
 	} else {
 		s.serveBody(c, w, r, g)
 	}
 	c.awaitHead()
-	s.pool.endServing(time.Now(), c)
 }
 
 // serveBody serves a request with a body.
 func (s *Server) serveBody(c *conn, w http.ResponseWriter, r *http.Request, g *generation) {
 	body := NewBody(time.Now(), w, r, s.Bodies)
-	body.PieceTime = g.limits.IdleTime
-	body.onEnd = func() { s.pool.startServing(c) }
+	body.PieceTime, body.TotalTime = g.limits.IdleTime, g.limits.BodyTime
+	body.onEnd = func() bool { return s.pool.startServing(c) }
 	defer body.Release()
 	// The server uses the body of its own request.
 	r = r.WithContext(r.Context())
@@ -247,15 +270,34 @@
 	}
 }
 
-// Shutdown stops accepting connections and waits until no request is served.
+// Shutdown stops accepting connections, closes idle ones and waits until all requests that
+// have been read are answered. Connections that are still open then belong to clients that
+// have not sent a whole request or do not read their answers; [Server.Close] closes them.
 func (s *Server) Shutdown(ctx context.Context) error {
-	var all error
 	for _, g := range s.stop() {
-		all = errors.CombineErrors(all, g.server.Shutdown(ctx))
+		go func() { _ = g.server.Shutdown(ctx) }()
 	}
-	return all
+	return s.AwaitAnswers(ctx)
 }
 
+// AwaitAnswers waits until all requests that have been read are answered, except those of
+// clients that do not read their answers.
+func (s *Server) AwaitAnswers(ctx context.Context) error {
+	poll := time.NewTicker(answerPollInterval)
+	defer poll.Stop()
+	for s.pool.unanswered(time.Now()) > 0 {
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "waiting for the answers in progress")
+		}
+	}
+	return nil
+}
+
+// answerPollInterval is short compared with the time of a request.
+const answerPollInterval = 5 * time.Millisecond
+
 // Close closes all connections.
 func (s *Server) Close() error {
 	var all error
