entry: the limits for clients hold for the product's own servers

Seen: clients that nobody controls made godwit-entry take 356 MB (900 bodies that stop short), 580 MB (900 of large chunks) and 595 MB (600 heads), against 26 before; no setting stated its memory.

Cause: it had a net/http server of its own beside limiter.Server: a limit on connections that refused the new ones, bodies of up to 64 KB each that nothing counted, heads and the answers to peers' bodies without a common bound, large bodies decoded all at once.

Change: all servers (callers, peers, operators, profile) are limiter.Server, so that both programs have one piece of code for it. New settings limits.memoryMb (default 1,024) and limits.maxFds (default: that of the process) give the limits of all servers; larger values of connections, heldBytes, answerBytes and bodyBytes are an error that names both. Large bodies are decoded one at a time.

--- a/entry/check.go
+++ b/entry/check.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"net/netip"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/godwitrelay/godwitrelay/core/identifier"
 	"github.com/godwitrelay/godwitrelay/core/loader"
 	"github.com/godwitrelay/godwitrelay/entry/broker"
 	"github.com/godwitrelay/godwitrelay/entry/gossiper"
+	"github.com/godwitrelay/godwitrelay/entry/limiter"
 )
 
 // Check fills in defaults and records every invalid value.
@@ -102,22 +105,67 @@
 }
 
 func (l *limits) check(f *loader.Problems) {
-	f.CheckRange("limits.bodyBytes", &l.BodyBytes, 4<<20, 1024, 64<<20)
+	f.CheckRange("limits.memoryMb", &l.MemoryMB, 1024, minMemoryMB, maxMemoryMB)
+	f.CheckRange("limits.maxFds", &l.MaxFds, openFileLimit(), 64, maxOpenFiles)
+	plan, mostHeld, mostAnswers := l.plan(), l.memory()/heldShare, l.memory()/answerShare
+	f.CheckRange("limits.bodyBytes", &l.BodyBytes, min(4<<20, plan.Callers.MaxBody()), 1024, 64<<20)
 	f.CheckRange("limits.headerBytes", &l.HeaderBytes, 16<<10, 1024, 1<<20)
 	f.CheckRange("limits.headerReadMs", &l.HeaderReadMs, 5000, 10, 60_000)
 	f.CheckRange("limits.bodyReadMs", &l.BodyReadMs, 15_000, 10, 600_000)
 	f.CheckRange("limits.answerWriteMs", &l.AnswerWriteMs, 30_000, 10, 600_000)
 	f.CheckRange("limits.tasksPerJob", &l.TasksPerJob, 1300, 1, 100_000)
-	f.CheckRange("limits.heldBytes", &l.HeldBytes, 256<<20, 1<<20, 64<<30)
-	f.CheckRange("limits.answerBytes", &l.AnswerBytes, 32<<20, 1<<20, 64<<30)
+	f.CheckRange("limits.heldBytes", &l.HeldBytes, min(256<<20, mostHeld), 1<<20, 64<<30)
+	f.CheckRange("limits.answerBytes", &l.AnswerBytes, min(32<<20, mostAnswers), 1<<20, 64<<30)
 	f.CheckRange("limits.maxDeadlineMs", &l.MaxDeadlineMs, 300_000, 1, 3_600_000)
 	f.CheckRange("limits.defaultDeadlineMs", &l.DefaultDeadlineMs, min(30_000, max(l.MaxDeadlineMs, 1)), 1, 3_600_000)
 	if l.DefaultDeadlineMs > l.MaxDeadlineMs {
 		f.Add("limits.defaultDeadlineMs", l.DefaultDeadlineMs, "at most limits.maxDeadlineMs")
 	}
-	f.CheckRange("limits.connections", &l.Connections, 4096, 1, 1_000_000)
-	// Peers are trusted. Each forwarded request takes a connection, and enough
-	// connections must remain for heartbeats.
-	f.CheckRange("limits.peerConnections", &l.PeerConnections, 32_768, 1, 1_000_000)
-	f.CheckRange("limits.operatorConnections", &l.OperatorConnections, 256, 1, 1_000_000)
+	callers, peers, operators := int64(plan.Callers.Connections), int64(plan.Peers.Connections), int64(plan.Metrics.Connections)
+	f.CheckRange("limits.connections", &l.Connections, min(4096, callers), 1, 1_000_000)
+	f.CheckRange("limits.peerConnections", &l.PeerConnections, min(32_768, peers), 1, 1_000_000)
+	f.CheckRange("limits.operatorConnections", &l.OperatorConnections, min(256, operators), 1, 1_000_000)
+	for _, c := range []struct {
+		field       string
+		value, most int64
+	}{
+		{"limits.bodyBytes", l.BodyBytes, plan.Callers.MaxBody()},
+		{"limits.heldBytes", l.HeldBytes, mostHeld},
+		{"limits.answerBytes", l.AnswerBytes, mostAnswers},
+		{"limits.connections", l.Connections, callers},
+		{"limits.peerConnections", l.PeerConnections, peers},
+		{"limits.operatorConnections", l.OperatorConnections, operators},
+	} {
+		if c.value > c.most {
+			f.Add(c.field, c.value, fmt.Sprintf("at most %d with limits.memoryMb %d and limits.maxFds %d", c.most, l.MemoryMB, l.MaxFds))
+		}
+	}
+}
+
+const (
+	minMemoryMB, maxMemoryMB = 64, 1 << 20
+	// heldShare and answerShare are the parts of the memory for the bodies of jobs in
+	// progress and for answers that are kept, as divisors.
+	heldShare, answerShare = 4, 16
+	// maxOpenFiles is above the limit of any system.
+	maxOpenFiles = 1 << 30
+	// defaultFds applies if the limit of the process is not known.
+	defaultFds = 4096
+)
+
+// memory returns the memory in bytes, or the nearest allowed value.
+func (l *limits) memory() int64 { return min(max(l.MemoryMB, minMemoryMB), maxMemoryMB) << 20 }
+
+// plan returns the limits of the servers.
+func (l *limits) plan() limiter.Plan {
+	return limiter.NewPlan(int(l.memory()>>20), int(min(max(l.MaxFds, 0), maxOpenFiles)))
+}
+
+// openFileLimit returns the number of files that the process may open.
+func openFileLimit() int64 {
+	var l unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &l); err != nil {
+		return defaultFds
+	}
+	return int64(min(l.Cur, maxOpenFiles))
 }
--- a/entry/limiter/answer.go
+++ b/entry/limiter/answer.go
@@ -1,19 +1,14 @@
 package limiter
 
-import (
-	"net/http"
-	"time"
-)
+import "net/http"
 
 // AnswerWriter closes the connection after an answer that starts before the request body
 // was read to its end: net/http would otherwise wait for the rest of the body before it
 // sends the answer. Set the exported fields before use.
 type AnswerWriter struct {
 	http.ResponseWriter
-	// Body is the body of the request, or nil if it has none.
-	Body *Body
-	// Time limits the time in which the client must receive the answer, unless it is 0.
-	Time    time.Duration
+	// Body is the body of the request.
+	Body    *Body
 	started bool
 }
 
@@ -37,10 +32,7 @@
 		return
 	}
 	w.started = true
-	if w.Body != nil && !w.Body.Complete() {
+	if !w.Body.Complete() {
 		w.Header().Set("Connection", "close")
 	}
-	if w.Time > 0 {
-		_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(time.Now().Add(w.Time))
-	}
 }
--- a/entry/limiter/plan.go
+++ b/entry/limiter/plan.go
@@ -12,6 +12,9 @@
 	HeadBytes, BodyBytes int64
 }
 
+// MaxBody returns the size of the largest body that can be read.
+func (s Share) MaxBody() int64 { return s.BodyBytes / copies }
+
 const (
 	// callerConnBytes is the memory for a connection of a caller: stacks (12 KB),
 	// buffers of net/http (8 KB), the parts of a head (18 KB parsed) and of a body
--- a/entry/limiter/reporter.go
+++ b/entry/limiter/reporter.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 // logInterval is the time for which the log lines of a kind are counted.
@@ -15,6 +17,22 @@
 	last map[string]*reported
 }
 
+// counter counts events by group and reason.
+type counter interface {
+	Count(group, reason string)
+}
+
+// ForServer returns a function for [Server.Report] that counts every event of a server, and
+// logs a line in 5 s for each reason.
+func (r *Reporter) ForServer(name string, metrics counter, log logrus.FieldLogger) func(now time.Time, reason string) {
+	return func(now time.Time, reason string) {
+		metrics.Count("limit", name+"."+reason)
+		if n := r.Report(now, name+"."+reason, 1); n > 0 {
+			log.WithFields(logrus.Fields{"server": name, "reason": reason, "count": n}).Warn("limiter: limit for clients reached")
+		}
+	}
+}
+
 // reported counts the events of a kind: the lines since the begin of an interval, and
 // the events since the last line.
 type reported struct {
--- a/entry/listener/body.go
+++ b/entry/listener/body.go
@@ -10,17 +10,17 @@
 	"github.com/godwitrelay/godwitrelay/entry/limiter"
 )
 
-// uncountedBodyBytes is the size up to which a body does not count towards
-// MaxBufferedBodyBytes, so that slow callers with large bodies cannot block those with
-// small ones.
-const uncountedBodyBytes = 64 << 10
+// largeBodyBytes is the size from which bodies are decoded one at a time, which takes
+// several times their size.
+const largeBodyBytes = 64 << 10
 
-// newBudget returns the budget for bodies of callers or of peers. They are separate so
-// that callers cannot block messages between entries.
-func (l *Listener) newBudget() *limiter.Budget {
-	budget := limiter.NewBudget(l.MaxBufferedBodyBytes)
-	budget.Free, budget.Copies = uncountedBodyBytes, 1
-	return budget
+// lockLarge makes large bodies wait for each other until unlock is called.
+func (l *Listener) lockLarge(body []byte) (unlock func()) {
+	if len(body) <= largeBodyBytes {
+		return func() {}
+	}
+	l.largeDecoding.Lock()
+	return l.largeDecoding.Unlock
 }
 
 // readBody reads a body of at most limit bytes within the budget of its server. The
--- a/entry/listener/listener.go
+++ b/entry/listener/listener.go
@@ -13,6 +13,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/godwitrelay/godwitrelay/core/identifier"
@@ -22,15 +23,12 @@
 )
 
 const (
-	// maxPeerBodyBytes bounds messages between entries. It fits a registration
-	// of about 100,000 waiting tasks.
-	maxPeerBodyBytes = 64 << 20
 	// maxFetchWait bounds how long a fetch may wait.
 	maxFetchWait = 10 * time.Minute
 	// maxIDsBodyBytes bounds the body of a request for ids.
 	maxIDsBodyBytes = 1 << 10
 	// readLimitRetryMs is the retry delay suggested to a caller whose body does
-	// not fit into MaxBufferedBodyBytes.
+	// not fit into the memory for bodies.
 	readLimitRetryMs = 500
 	// fetchGrace is added to a fetch's wait to give the reducer, or the owner
 	// of the id, time to answer.
@@ -46,25 +44,26 @@
 	Ready() bool
 }
 
-// Listener creates the HTTP handlers. All fields must be set.
+// Listener creates the HTTP handlers. All exported fields must be set. The handlers
+// expect bodies that are bounded by a [limiter.Server].
 type Listener struct {
 	Runner  eventLoop
 	Signer  identifier.Signer
 	Metrics *exporter.Exporter
 	// MaxBodyBytes bounds the body of a submission.
 	MaxBodyBytes int64
-	// MaxBufferedBodyBytes bounds the total bytes of bodies that are being read
-	// from callers and, separately, from peers and from operators.
-	MaxBufferedBodyBytes int64
+	// MaxPeerBodyBytes bounds messages between entries. A registration takes 64 MB for
+	// about 100,000 waiting tasks.
+	MaxPeerBodyBytes int64
 	// MaxTasks bounds the number of tasks in a submission.
 	MaxTasks int
 	// BodyReadTimeout is the time limit for reading a body.
 	BodyReadTimeout time.Duration
-	// AnswerWriteTimeout is the time limit within which a caller must receive
-	// its answer.
-	AnswerWriteTimeout time.Duration
 	// MaxDeadline bounds how long a submission waits for its answer.
 	MaxDeadline time.Duration
+
+	// largeDecoding is held while a large body is decoded.
+	largeDecoding sync.Mutex
 }
 
 // Callers returns the handler for callers.
@@ -76,7 +75,7 @@
 	mux.HandleFunc("DELETE /v1/jobs/{id}", func(w http.ResponseWriter, r *http.Request) { l.cancel(w, r, false) })
 	mux.HandleFunc("GET /readyz", l.readyz)
 	mux.HandleFunc("/", l.notFound)
-	return l.withLimits(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return l.withCanonicalPath(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !l.Runner.Ready() {
 			// Callers of an entry that is starting or stopping should
 			// reconnect, so that the load balancer can choose another entry.
@@ -98,7 +97,7 @@
 	mux.HandleFunc("GET /peer/v1/configuration", l.configuration)
 	mux.HandleFunc("GET /peer/v1/vms", l.vms)
 	mux.HandleFunc("/", l.notFound)
-	return l.withLimits(mux)
+	return l.withCanonicalPath(mux)
 }
 
 // Operators returns the handler for operators.
@@ -113,7 +112,7 @@
 	mux.HandleFunc("GET /readyz", l.readyz)
 	mux.HandleFunc("GET /metrics", l.metrics)
 	mux.HandleFunc("/", l.notFound)
-	return l.withLimits(mux)
+	return l.withCanonicalPath(mux)
 }
 
 // notFound refuses a request for a path or method that does not exist.
@@ -187,13 +186,14 @@
 	if forwarded {
 		// The forwarding entry has already checked the size. Its encoding of
 		// the same payloads may be longer, because it escapes some characters.
-		limit = maxPeerBodyBytes
+		limit = l.MaxPeerBodyBytes
 	}
 	body, release, e := l.readBody(r, limit)
 	defer release()
 	if e != nil {
 		return msg, e
 	}
+	defer l.lockLarge(body)()
 	if e := checkStructure(body, l.MaxTasks); e != nil {
 		return msg, e
 	}
@@ -327,7 +327,7 @@
 // for slots, released slots and cancellations.
 func (l *Listener) slots(w http.ResponseWriter, r *http.Request) {
 	var req messenger.SlotsRequest
-	if !l.decode(w, r, maxPeerBodyBytes, &req) {
+	if !l.decode(w, r, l.MaxPeerBodyBytes, &req) {
 		return
 	}
 	l.askAndReply(w, r, replyTimeout, "", func(n dispatcher.Waiter) dispatcher.Msg {
@@ -338,7 +338,7 @@
 // grants handles grants and refusals that a broker sends to this entry.
 func (l *Listener) grants(w http.ResponseWriter, r *http.Request) {
 	var req messenger.GrantsRequest
-	if !l.decode(w, r, maxPeerBodyBytes, &req) {
+	if !l.decode(w, r, l.MaxPeerBodyBytes, &req) {
 		return
 	}
 	v, _, err := l.Runner.Request(r.Context(), func(n dispatcher.Waiter) dispatcher.Msg {
@@ -358,7 +358,7 @@
 // heartbeat handles a heartbeat of another entry and replies with one.
 func (l *Listener) heartbeat(w http.ResponseWriter, r *http.Request) {
 	var beat messenger.Heartbeat
-	if !l.decode(w, r, maxPeerBodyBytes, &beat) {
+	if !l.decode(w, r, l.MaxPeerBodyBytes, &beat) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), replyTimeout)
@@ -416,6 +416,7 @@
 func (l *Listener) decode(w http.ResponseWriter, r *http.Request, limit int64, v any) bool {
 	body, release, e := l.readBody(r, limit)
 	defer release()
+	defer l.lockLarge(body)()
 	if e == nil {
 		e = checkStructure(body, math.MaxInt)
 	}
--- a/entry/main.go
+++ b/entry/main.go
@@ -39,6 +39,10 @@
 	// gcPercent trades memory for CPU time, because most of the heap is garbage
 	// from finished requests.
 	gcPercent = 200
+	// memoryLimitRatio is the soft memory limit of the Go runtime, as a fraction of
+	// limits.memoryMb. The rest is for the program and for garbage that is not collected
+	// yet.
+	memoryLimitRatio = 0.6
 )
 
 func main() {
@@ -76,6 +80,9 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(cfg.Limits.MemoryMB<<20)))
+	}
 	log := logrus.New()
 	level, err := logrus.ParseLevel(cfg.LogLevel)
 	if err != nil {
@@ -90,7 +97,7 @@
 	if err != nil {
 		return err
 	}
-	servers, err := listen(cfg, newListener(cfg, r))
+	servers, err := listen(cfg, newListener(cfg, r), r.Metrics, log)
 	if err != nil {
 		return err
 	}
@@ -107,6 +114,7 @@
 		if err := s.Shutdown(ctx); err != nil {
 			log.Warnf("entry: shutting down %s: %v", s.Addr, err)
 		}
+		_ = s.Close()
 	}
 	r.Stop()
 	log.Info("entry: stopped")
@@ -163,9 +171,8 @@
 func newListener(cfg settings, r *runner.Runner) *listener.Listener {
 	return &listener.Listener{
 		Runner: r, Signer: identifier.Signer{Key: cfg.key}, Metrics: r.Metrics,
-		MaxBodyBytes: cfg.Limits.BodyBytes, MaxBufferedBodyBytes: cfg.Limits.HeldBytes, MaxTasks: int(cfg.Limits.TasksPerJob),
-		BodyReadTimeout: ms(cfg.Limits.BodyReadMs), AnswerWriteTimeout: ms(cfg.Limits.AnswerWriteMs),
-		MaxDeadline: ms(cfg.Limits.MaxDeadlineMs),
+		MaxBodyBytes: cfg.Limits.BodyBytes, MaxPeerBodyBytes: cfg.Limits.plan().Peers.MaxBody(), MaxTasks: int(cfg.Limits.TasksPerJob),
+		BodyReadTimeout: ms(cfg.Limits.BodyReadMs), MaxDeadline: ms(cfg.Limits.MaxDeadlineMs),
 	}
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -38,6 +38,9 @@
 
 // limits bounds the resources that callers can make an entry use.
 type limits struct {
+	// MemoryMB and MaxFds are the memory and the file descriptors that the process may use.
+	MemoryMB            int64 `json:"memoryMb"`
+	MaxFds              int64 `json:"maxFds"`
 	BodyBytes           int64 `json:"bodyBytes"`
 	HeaderBytes         int64 `json:"headerBytes"`
 	HeaderReadMs        int64 `json:"headerReadMs"`
