limiter: jobs that wait leave connections free, by priority

Seen: legal jobs that wait for a worker can hold every connection of an entry (384 at 96 MB). A new caller was answered 503 before it had sent anything, whatever it wanted: an urgent job, a cancelling or a lookup.

Cause: the limit on connections was the only one for jobs that wait.

Change: requests that wait for a result may hold seven of eight connections. Each priority of the configuration that comes later leaves a quarter of these places to those before it.

Weighed: to end jobs of lower priority for new ones would break off what runs already. Limits by address are useless behind a balancer. With jobs of the first priority only, the places go to those that came first.

--- a/entry/limiter/limiter_test.go
+++ b/entry/limiter/limiter_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -101,6 +102,57 @@
 	expect("the answer is not read", surplus, serving)
 }
 
+// TestPlaces guards against jobs of a low priority that hold all connections, and against
+// refused callers that return when there is no place: all at once, or much too early.
+func TestPlaces(t *testing.T) {
+	p := &Places{Limit: 64}
+	var ends []time.Time
+	take := func(now time.Time, rank int) bool {
+		ends = slices.DeleteFunc(ends, func(end time.Time) bool {
+			if !end.After(now) {
+				p.End(end)
+				return true
+			}
+			return false
+		})
+		ok := p.Take(rank)
+		if ok {
+			ends = append(ends, now.Add(2*time.Second))
+		}
+		return ok
+	}
+	start := time.Unix(1000, 0)
+	for want, rank := range []int{64, 48, 36, 27, 27} {
+		if got := placesFor(p.Limit, want); got != rank {
+			t.Errorf("rank %d: up to %d places, want %d", want, got, rank)
+		}
+	}
+	returns := map[string]time.Time{}
+	for i := range 500 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		if id := fmt.Sprint(i); !take(now, 1) {
+			returns[id] = now.Add(p.RetryAfter(now, id, 1))
+		}
+	}
+	if now := start.Add(5 * time.Second); p.taken != 48 || !take(now, 0) {
+		t.Errorf("%d places are taken, want 48 and one for an urgent job", p.taken)
+	}
+	order := slices.SortedFunc(maps.Values(returns), time.Time.Compare)
+	found := 0
+	for _, at := range order {
+		if at.Before(start.Add(5 * time.Second)) {
+			// Beside the crowd.
+			continue
+		}
+		if take(at, 1) {
+			found++
+		}
+	}
+	if len(order) < 100 || found < len(order)/2 {
+		t.Errorf("%d of %d refused callers found a place when they returned", found, len(order))
+	}
+}
+
 // TestUnfinishedHeads guards against heads that stop short of their end, each within
 // its limit, and that fill the memory or keep out others.
 func TestUnfinishedHeads(t *testing.T) {
--- a/entry/limiter/plan.go
+++ b/entry/limiter/plan.go
@@ -12,6 +12,10 @@
 	HeadBytes, BodyBytes int64
 }
 
+// Places returns how many connections may be held by requests that wait for a result. The
+// others stay free for requests that are answered at once, such as cancellings.
+func (s Share) Places() int { return max(s.Connections-max(s.Connections/freeConnShare, 1), 1) }
+
 // MaxBody returns the size of the largest body that can be read.
 func (s Share) MaxBody() int64 { return s.BodyBytes / copies }
 
@@ -33,6 +37,9 @@
 	minBodyBytes = 2 << 20
 	// minHeadBytes fits several heads of the usual limit (16 KB).
 	minHeadBytes = 1 << 20
+	// freeConnShare is the part of the connections that requests which wait for a result
+	// leave free, as a divisor.
+	freeConnShare = 8
 	// operatorConns are the connections to the servers for probes and for metrics,
 	// each of which has a handful of clients.
 	operatorConns = 64
--- a/entry/listener/listener.go
+++ b/entry/listener/listener.go
@@ -20,6 +20,7 @@
 	"github.com/godwitrelay/godwitrelay/core/messenger"
 	"github.com/godwitrelay/godwitrelay/entry/dispatcher"
 	"github.com/godwitrelay/godwitrelay/entry/exporter"
+	"github.com/godwitrelay/godwitrelay/entry/limiter"
 )
 
 const (
@@ -44,8 +45,9 @@
 	Ready() bool
 }
 
-// Listener creates the HTTP handlers. All exported fields must be set. The handlers
-// expect bodies that are bounded by a [limiter.Server].
+// Listener creates the HTTP handlers. All exported fields must be set, except that places
+// without a limit are unlimited. The handlers expect bodies that are bounded by a
+// [limiter.Server].
 type Listener struct {
 	Runner  eventLoop
 	Signer  identifier.Signer
@@ -61,6 +63,9 @@
 	BodyReadTimeout time.Duration
 	// MaxDeadline bounds how long a submission waits for its answer.
 	MaxDeadline time.Duration
+	// CallerPlaces and PeerPlaces bound the requests of callers and of other entries that
+	// wait for a result.
+	CallerPlaces, PeerPlaces limiter.Places
 
 	// largeDecoding is held while a large body is decoded.
 	largeDecoding sync.Mutex
@@ -169,6 +174,11 @@
 		l.refuse(w, msg.Submission.ID, e)
 		return
 	}
+	release, ok := l.takePlace(w, msg.Submission.ID, submissionRank, forwarded)
+	if !ok {
+		return
+	}
+	defer release()
 	l.askAndReply(w, r, l.MaxDeadline, msg.Submission.ID, func(n dispatcher.Waiter) dispatcher.Msg {
 		msg.Waiter = n
 		return msg
@@ -260,6 +270,13 @@
 			return
 		}
 	}
+	if wait > 0 {
+		release, ok := l.takePlace(w, text, fetchRank, forwarded)
+		if !ok {
+			return
+		}
+		defer release()
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond+fetchGrace)
 	defer cancel()
 	v, n, err := l.Runner.Request(ctx, func(n dispatcher.Waiter) dispatcher.Msg {
--- a/entry/main.go
+++ b/entry/main.go
@@ -23,6 +23,7 @@
 	"github.com/godwitrelay/godwitrelay/core/recorder"
 	"github.com/godwitrelay/godwitrelay/entry/dispatcher"
 	"github.com/godwitrelay/godwitrelay/entry/exporter"
+	"github.com/godwitrelay/godwitrelay/entry/limiter"
 	"github.com/godwitrelay/godwitrelay/entry/listener"
 	"github.com/godwitrelay/godwitrelay/entry/runner"
 )
@@ -169,11 +170,14 @@
 }
 
 func newListener(cfg settings, r *runner.Runner) *listener.Listener {
-	return &listener.Listener{
+	l := &listener.Listener{
 		Runner: r, Signer: identifier.Signer{Key: cfg.key}, Metrics: r.Metrics,
 		MaxBodyBytes: cfg.Limits.BodyBytes, MaxPeerBodyBytes: cfg.Limits.plan().Peers.MaxBody(), MaxTasks: int(cfg.Limits.TasksPerJob),
 		BodyReadTimeout: ms(cfg.Limits.BodyReadMs), MaxDeadline: ms(cfg.Limits.MaxDeadlineMs),
 	}
+	l.CallerPlaces.Limit = limiter.Share{Connections: int(cfg.Limits.Connections)}.Places()
+	l.PeerPlaces.Limit = limiter.Share{Connections: int(cfg.Limits.PeerConnections)}.Places()
+	return l
 }
 
 // dispatcherSettings returns the dispatcher settings of a new incarnation.
--- a/entry/router/router.go
+++ b/entry/router/router.go
@@ -2,6 +2,7 @@
 package router
 
 import (
+	"slices"
 	"strings"
 )
 
@@ -38,6 +39,22 @@
 	TimeoutMs int64 `json:"timeoutMs"`
 }
 
+// Rank returns the number of priorities among the queues that are before the priority p. It
+// counts up to three.
+func (c *Configuration) Rank(p int) int {
+	var before [3]int
+	n := 0
+	for i := range c.Queues {
+		if q := c.Queues[i].Priority; q < p && !slices.Contains(before[:n], q) {
+			before[n] = q
+			if n++; n == len(before) {
+				break
+			}
+		}
+	}
+	return n
+}
+
 // Match returns the queue of a request and the remainder of its path after the
 // prefix, or nil if there is none. The host may include a port.
 func (c *Configuration) Match(host, path string) (*Queue, string) {
--- a/entry/router/router_test.go
+++ b/entry/router/router_test.go
@@ -6,6 +6,16 @@
 	"github.com/godwitrelay/godwitrelay/entry/router"
 )
 
+// TestRank guards against ranks by the number of a priority, which may be any.
+func TestRank(t *testing.T) {
+	cfg := router.Configuration{Queues: []router.Queue{{Priority: 5}, {Priority: -3}, {Priority: 5}, {Priority: 90}, {Priority: 91}, {Priority: 92}}}
+	for priority, want := range map[int]int{-3: 0, 5: 1, 90: 2, 91: 3, 92: 3} {
+		if got := cfg.Rank(priority); got != want {
+			t.Errorf("priority %d has rank %d, want %d", priority, got, want)
+		}
+	}
+}
+
 // TestMatch guards against routing a request to a queue of another host or with
 // a shorter prefix.
 func TestMatch(t *testing.T) {
