limiter: replies of workers, other entries and the store are bounded

Seen: nothing by callers; found in the code. A reply could have 64 MB, the records of a topic of the store any size, and as many replies as there are workers could arrive at once, on VMs of 144 MB. The head of a reply could have 10 MB.

Change: limiter.ReplyTransport limits each reply and what all replies of a kind take until they are decoded: a sixteenth of the memory for each of workers, other entries and the store (at least 4, 8 and 16 MB), counted twice. The first 16 KB of a reply need no credit, so that ordinary ones pass beside large ones. Heads have up to 64 KB, and reading a topic fails beyond the share of the store. A reply over the limit counts as one that failed.

--- a/core/messenger/client.go
+++ b/core/messenger/client.go
@@ -17,6 +17,9 @@
 // read.
 const maxReplyBytes = 64 << 20
 
+// maxReplyHeaderBytes limits the head of a reply, which has some hundred bytes.
+const maxReplyHeaderBytes = 64 << 10
+
 // ErrNotSent marks errors of requests that were not sent, usually because no
 // connection was established. Test for it with errors.Is. After any other
 // transport error the request may have reached the server.
@@ -41,6 +44,8 @@
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     90 * time.Second,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxReplyHeaderBytes,
 	}
 }
 
--- a/entry/limiter/limiter_test.go
+++ b/entry/limiter/limiter_test.go
@@ -153,6 +153,45 @@
 	}
 }
 
+// TestReplies guards against replies that never end, or large ones from many workers at
+// once, that fill the memory; and against refusing an ordinary one beside them.
+func TestReplies(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for n := len(r.URL.Path); ; n++ {
+			if _, err := io.WriteString(w, strings.Repeat("x", 1000)); err != nil || r.URL.Path != "/endless" {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	transport := NewReplyTransport(&http.Transport{}, Share{BodyBytes: 1 << 20})
+	get := func(path string) *http.Response {
+		req, _ := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL+path, http.NoBody)
+		resp, err := transport.RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp
+	}
+	total := 0
+	for range 4 {
+		resp := get("/endless")
+		data, err := io.ReadAll(resp.Body)
+		if total += len(data); !errors.Is(err, ErrReplyLimit) {
+			t.Errorf("%d bytes of an endless reply, %v", len(data), err)
+		}
+		defer resp.Body.Close()
+	}
+	if total > 1<<20/copies+4*pieceBytes {
+		t.Errorf("replies hold %d bytes", total)
+	}
+	resp := get("/ordinary")
+	defer resp.Body.Close()
+	if data, err := io.ReadAll(resp.Body); err != nil || len(data) != 1000 {
+		t.Errorf("ordinary reply: %d bytes, %v", len(data), err)
+	}
+}
+
 // TestUnfinishedHeads guards against heads that stop short of their end, each within
 // its limit, and that fill the memory or keep out others.
 func TestUnfinishedHeads(t *testing.T) {
@@ -183,7 +222,7 @@
 func TestPlan(t *testing.T) {
 	for _, vm := range []struct{ memoryMB, maxFds int }{{144, 3075}, {144, 0}, {300, 6000}, {536, 10250}, {0, 0}} {
 		p := NewPlan(vm.memoryMB, vm.maxFds)
-		shares := []Share{p.Callers, p.Peers, p.Ready, p.Metrics}
+		shares := []Share{p.Callers, p.Peers, p.Ready, p.Metrics, p.WorkerReplies, p.PeerReplies, p.StoreReplies}
 		memory, conns := int64(0), 0
 		for _, s := range shares {
 			memory += s.HeadBytes + s.BodyBytes + int64(s.Connections)*peerConnBytes
--- a/entry/limiter/plan.go
+++ b/entry/limiter/plan.go
@@ -4,6 +4,9 @@
 // the descriptors of its VM.
 type Plan struct {
 	Callers, Peers, Ready, Metrics Share
+	// The shares for replies of workers, other entries and the store have no limit on
+	// connections.
+	WorkerReplies, PeerReplies, StoreReplies Share
 }
 
 // Share holds the limits of one server.
@@ -26,13 +29,18 @@
 	callerConnBytes = 64 << 10
 	// peerConnBytes is lower, as most connections of other entries are idle.
 	peerConnBytes = 48 << 10
-	// The shares of the memory, as divisors. Together they are three quarters of it,
-	// and no load needs all of them at the same time.
+	// The shares of the memory, as divisors. Together they are nine tenths of it, and no
+	// load needs all of them at the same time.
 	callerConnShare, peerConnShare = 4, 6
 	bodyShare                      = 8
 	callerHeadShare, peerHeadShare = 16, 32
+	replyShare                     = 16
 	// minPeerBodyBytes fits a body of another entry (4 MB).
 	minPeerBodyBytes = copies * (4<<20 + pieceBytes)
+	// minWorkerReplyBytes fits the lists of several workers with 10,000 runs each.
+	minWorkerReplyBytes = 4 << 20
+	// minStoreReplyBytes fits a page of the store (8 MB).
+	minStoreReplyBytes = copies * 8 << 20
 	// minBodyBytes fits several bodies of the usual limit (256 KB).
 	minBodyBytes = 2 << 20
 	// minHeadBytes fits several heads of the usual limit (16 KB).
@@ -78,6 +86,10 @@
 			Connections: conns(memory/peerConnShare/peerConnBytes, peerFdPercent),
 			HeadBytes:   max(memory/peerHeadShare, minHeadBytes), BodyBytes: max(memory/bodyShare, minPeerBodyBytes),
 		},
+		WorkerReplies: Share{BodyBytes: max(memory/replyShare, minWorkerReplyBytes)},
+		PeerReplies:   Share{BodyBytes: max(memory/replyShare, minPeerBodyBytes)},
+		StoreReplies:  Share{BodyBytes: max(memory/replyShare, minStoreReplyBytes)},
+
 		Ready:   Share{Connections: conns(operatorConns, operatorFdPercent), HeadBytes: minHeadBytes},
 		Metrics: Share{Connections: conns(operatorConns, operatorFdPercent), HeadBytes: minHeadBytes},
 	}
--- a/entry/main.go
+++ b/entry/main.go
@@ -157,11 +157,15 @@
 			return nil, err
 		}
 	}
+	plan := cfg.Limits.plan()
+	newClient := func(maxIdlePerHost int, replies limiter.Share) messenger.Client {
+		return messenger.Client{Transport: limiter.NewReplyTransport(messenger.NewTransport(maxIdlePerHost, dialTimeout), replies)}
+	}
 	r := &runner.Runner{
 		State:           dispatcher.New(start, reducerSettings),
-		Targets:         messenger.Client{Transport: messenger.NewTransport(targetConnections, dialTimeout)},
-		Peers:           messenger.Client{Transport: messenger.NewTransport(peerConnections, dialTimeout)},
-		Platform:        messenger.Client{Transport: messenger.NewTransport(2, dialTimeout)},
+		Targets:         newClient(targetConnections, plan.PeerReplies),
+		Peers:           newClient(peerConnections, plan.PeerReplies),
+		Platform:        newClient(2, plan.StoreReplies),
 		PlatformAddress: cfg.Platform,
 		Metrics:         exporter.New(), History: history, Events: events, Log: log,
 	}
