--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -45,6 +45,10 @@
 	cpuShares []float64
 	// mixed is set if the jobs are those of a mixed load, and not of random sizes.
 	mixed bool
+	// memoryMB and maxFds limit each entry; 0 means the default. attacked is set if there
+	// are clients that keep to no limit.
+	memoryMB, maxFds int
+	attacked         bool
 }
 
 func (l layout) grouped() bool { return l.domains > 1 }
@@ -106,7 +110,7 @@
 		p := &process{index: i, name: "entry", address: fmt.Sprintf("127.77.%d.%d", block, i+1), settings: filepath.Join(d.dir, fmt.Sprintf("entry-%d.toml", i))}
 		settings := listener.EntrySettings{
 			Name: fmt.Sprintf("entry-%d", i), Zone: l.zone(i), IP: p.address, Seed: fmt.Sprintf("127.77.%d.1", block),
-			Store: d.forward(storeName(i), d.store.Handler()),
+			Store: d.forward(storeName(i), d.store.Handler()), MemoryMB: l.memoryMB, MaxFds: l.maxFds,
 		}
 		if l.grouped() {
 			p.name, settings.CPUShare = settings.Name, l.cpuShares[i/l.domains%len(l.cpuShares)]
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -81,16 +81,22 @@
 // logs of seeds that pass.
 func TestSoak(t *testing.T) {
 	program := buildEntry(t)
-	seeds := ciSeeds
-	if first := envInt("GODWIT_SEED", 0); first != 0 {
-		seeds = nil
-		for i := range envInt("GODWIT_SEEDS", 1) {
-			seeds = append(seeds, int64(first+i))
-		}
+	for _, seed := range seedsFromEnv(ciSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, program, seed, layoutOf(seed)) })
+	}
+}
+
+// seedsFromEnv returns the seeds from GODWIT_SEED on, or those of CI if it is not set.
+func seedsFromEnv(ciSeeds []int64) []int64 {
+	first := envInt("GODWIT_SEED", 0)
+	if first == 0 {
+		return ciSeeds
 	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, program, seed) })
+	var seeds []int64
+	for i := range envInt("GODWIT_SEEDS", 1) {
+		seeds = append(seeds, int64(first+i))
 	}
+	return seeds
 }
 
 // buildEntry builds the entry program and returns its path.
@@ -103,8 +109,8 @@
 	return program
 }
 
-func runSeed(t *testing.T, program string, seed int64) {
-	d := deploy(t, program, layoutOf(seed))
+func runSeed(t *testing.T, program string, seed int64, l layout) {
+	d := deploy(t, program, l)
 	defer d.reportViolations(fmt.Sprint(seed))
 	d.awaitService("the start")
 	r := rand.New(rand.NewSource(seed))
@@ -117,10 +123,26 @@
 		seconds = ciGroupedSeconds
 		inject = func() string { return d.injectGroupFault(r, callers, &faults) }
 	}
+	attack, stopAttack := context.WithCancel(t.Context())
+	var attacks sync.WaitGroup
+	if l.attacked {
+		attacks.Go(func() { d.attackEntries(attack, rand.New(rand.NewSource(seed+2))) })
+		attacks.Go(func() { d.watchResources(attack) })
+		injectOther, version := inject, 1
+		inject = func() string {
+			if r.Intn(4) > 0 {
+				return injectOther()
+			}
+			version++
+			return d.changeLimits(r, version, d.processes[r.Intn(len(d.processes))])
+		}
+	}
 	for end := time.Now().Add(time.Duration(envInt("GODWIT_SECONDS", seconds)) * time.Second); time.Now().Before(end); {
 		time.Sleep(time.Duration(r.Int63n(int64(d.layout.maxFaultGap))))
 		t.Log(time.Now().Format("05.000"), inject())
 	}
+	stopAttack()
+	attacks.Wait()
 	faults.Wait()
 	d.network.Heal()
 	d.fleet.SetFaults(listener.Faults{})
--- a/standin/fleet/listener/caller.go
+++ b/standin/fleet/listener/caller.go
@@ -13,11 +13,22 @@
 	WorkerTopic      = "keyed.servers"
 )
 
+// Limits are the limits for callers in a configuration record.
+type Limits struct {
+	MaxBodyBytes, MaxHeaderBytes, HeaderTimeoutMs, IdleTimeoutMs int
+}
+
 // Configuration returns a configuration record with a single queue.
 func Configuration(version int, host, prefix, service string) []byte {
+	return ConfigurationWithLimits(version, host, prefix, service, Limits{MaxBodyBytes: 262144, MaxHeaderBytes: 16384, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000})
+}
+
+// ConfigurationWithLimits is Configuration with other limits.
+func ConfigurationWithLimits(version int, host, prefix, service string, l Limits) []byte {
+	// Encoding this type cannot fail.
+	limits, _ := json.Marshal(l)
 	return fmt.Appendf(nil, `{"Version":%d,"Routes":[{"Name":"q","Host":%q,"Prefix":%q,"TimeoutMs":1500,"TargetLatencyMs":60,
-		"Priority":0,"Service":%q,"MaxAttempts":3,"Stretch":1.6}],"Services":[],
-		"Limits":{"MaxBodyBytes":262144,"MaxHeaderBytes":16384,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`, version, host, prefix, service)
+		"Priority":0,"Service":%q,"MaxAttempts":3,"Stretch":1.6}],"Services":[],"Limits":%s}`, version, host, prefix, service, limits)
 }
 
 // JobBody returns the request body of an opportunistic job with n tasks: the
