soak: requests that are not complete start nothing

The attacks on the platform's entry now also check that no task started for a client whose request was never complete, however it ended: given up for others, evicted, too slow or closed by the client. sampler.Sample is what both tests read of a process.

--- a/soak/attacker/attacker.go
+++ b/soak/attacker/attacker.go
@@ -29,9 +29,11 @@
 	blockedAfter = 5 * time.Second
 	// dialTimeout limits the time for a connection.
 	dialTimeout = 30 * time.Second
-	// jobsPerClient is the number of jobs that a client pipelines. Numbers of clients must
-	// differ by as much, as the ids of their jobs follow from them.
+	// jobsPerClient is the number of jobs that a client pipelines.
 	jobsPerClient = 100
+	// wholeShare is the part of the clients with large bodies that send all of it, as a
+	// divisor.
+	wholeShare = 8
 )
 
 // Port is a server of an entry.
@@ -49,9 +51,24 @@
 type Attack struct {
 	Name string
 	Port Port
-	Run  func(client int, send func(string) error)
+	// Run sends the requests of a client, whose jobs are numbered from job on.
+	Run func(job int, send func(string) error)
 }
 
+// Finishes reports whether a client sends a whole job, which may start then.
+func (a Attack) Finishes(client int) bool {
+	switch a.Name {
+	case "WholeBodies":
+		return client%wholeShare == 0
+	case "BodiesOfSteps", "PipelinedJobs", "UnreadResults":
+		return true
+	}
+	return false
+}
+
+// JobNumber returns the number of the first job of a client.
+func JobNumber(client int) int { return client * jobsPerClient }
+
 // Dialect is what the attacks need to know of a program's interface.
 type Dialect struct {
 	Host string
@@ -76,7 +93,7 @@
 			continue
 		}
 		var failed error
-		a.Run(client*jobsPerClient, func(data string) error {
+		a.Run(JobNumber(client), func(data string) error {
 			_ = c.SetWriteDeadline(time.Now().Add(blockedAfter))
 			_, failed = io.WriteString(c, data)
 			return failed
@@ -94,8 +111,8 @@
 
 // Attacks returns the attacks on a program.
 func Attacks(d Dialect) []Attack {
-	post := func(client int, field string) string {
-		return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s\r\n\r\n", d.JobPath(client), d.Host, field)
+	post := func(job int, field string) string {
+		return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s\r\n\r\n", d.JobPath(job), d.Host, field)
 	}
 	get := func(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: " + d.Host + "\r\n" }
 	text := func(n int) string { return strings.Repeat("x", n) }
@@ -106,8 +123,8 @@
 			time.Sleep(pause)
 		}
 	}
-	chunked := func(client, size, count int, send func(string) error) {
-		if send(post(client, "Transfer-Encoding: chunked")) != nil {
+	chunked := func(job, size, count int, send func(string) error) {
+		if send(post(job, "Transfer-Encoding: chunked")) != nil {
 			return
 		}
 		chunk := fmt.Sprintf("%x\r\n%s\r\n", size, text(size))
@@ -128,25 +145,25 @@
 	}
 	length := "Content-Length: " + strconv.Itoa(MaxBodyBytes)
 	return []Attack{
-		{"WholeBodies", Callers, func(client int, send func(string) error) {
+		{"WholeBodies", Callers, func(job int, send func(string) error) {
 			body := padded(MaxBodyBytes)
-			if client%8 != 0 {
+			if job/jobsPerClient%wholeShare != 0 {
 				body = body[:len(body)-1]
 			}
-			_ = send(post(client, length) + body)
+			_ = send(post(job, length) + body)
 		}},
-		{"BodiesOfSteps", Callers, func(client int, send func(string) error) {
-			_ = send(post(client, "Content-Length: "+strconv.Itoa(len(d.ManyElements))) + d.ManyElements)
+		{"BodiesOfSteps", Callers, func(job int, send func(string) error) {
+			_ = send(post(job, "Content-Length: "+strconv.Itoa(len(d.ManyElements))) + d.ManyElements)
 		}},
-		{"BodiesInPieces", Callers, func(client int, send func(string) error) {
-			if send(post(client, length)) == nil {
+		{"BodiesInPieces", Callers, func(job int, send func(string) error) {
+			if send(post(job, length)) == nil {
 				inPieces(padded(MaxBodyBytes)[:MaxBodyBytes-1], 16<<10, send)
 			}
 		}},
-		{"LargeChunks", Callers, func(client int, send func(string) error) { chunked(client, 64<<10-1, 4, send) }},
-		{"SmallChunks", Callers, func(client int, send func(string) error) { chunked(client, 1, MaxBodyBytes-1, send) }},
-		{"LargeHeads", Callers, func(client int, send func(string) error) {
-			_ = send(post(client, "Content-Length: 2\r\nX-Filler: "+text(900<<10)) + "{}")
+		{"LargeChunks", Callers, func(job int, send func(string) error) { chunked(job, 64<<10-1, 4, send) }},
+		{"SmallChunks", Callers, func(job int, send func(string) error) { chunked(job, 1, MaxBodyBytes-1, send) }},
+		{"LargeHeads", Callers, func(job int, send func(string) error) {
+			_ = send(post(job, "Content-Length: 2\r\nX-Filler: "+text(900<<10)) + "{}")
 		}},
 		{"EndlessHeaderField", Callers, func(_ int, send func(string) error) {
 			endless(get(d.Lookup)+"X-Filler: ", "x", send)
@@ -184,16 +201,16 @@
 				time.Sleep(pause)
 			}
 		}},
-		{"PipelinedJobs", Callers, func(client int, send func(string) error) {
+		{"PipelinedJobs", Callers, func(job int, send func(string) error) {
 			var b strings.Builder
 			for i := range jobsPerClient {
-				b.WriteString(post(client+i, "Content-Length: "+strconv.Itoa(len(d.Job))) + d.Job)
+				b.WriteString(post(job+i, "Content-Length: "+strconv.Itoa(len(d.Job))) + d.Job)
 			}
 			_ = send(b.String())
 		}},
-		{"UnreadResults", Callers, func(client int, send func(string) error) {
+		{"UnreadResults", Callers, func(job int, send func(string) error) {
 			for i := range 8 {
-				if send(post(client+i, "Content-Length: "+strconv.Itoa(len(d.LargeJob)))+d.LargeJob) != nil {
+				if send(post(job+i, "Content-Length: "+strconv.Itoa(len(d.LargeJob)))+d.LargeJob) != nil {
 					return
 				}
 			}
--- a/soak/untrusted/programs_test.go
+++ b/soak/untrusted/programs_test.go
@@ -22,7 +22,7 @@
 		steps := `{"Opportunistic":true,"Steps":[{}`
 		withstandAll(t, func(t *testing.T, maxFds int) *entry { return startPlatformEntry(t, program, maxFds) }, attacker.Dialect{
 			Host:         host,
-			JobPath:      func(client int) string { return fmt.Sprintf("/orders/%016x", client+1) },
+			JobPath:      func(number int) string { return "/orders/" + jobID(number) },
 			Job:          listener.JobBody(1, listener.Work{WorkMs: 50, CPU: 10}),
 			ManyElements: steps + strings.Repeat(",{}", (attacker.MaxBodyBytes-len(steps)-2)/3) + "]}",
 			LargeJob:     listener.JobBody(1, listener.Work{WorkMs: 50, CPU: 10}),
@@ -52,6 +52,9 @@
 	}
 }
 
+// jobID returns the id of a job of an attack on the platform's entry.
+func jobID(number int) string { return fmt.Sprintf("%016x", number+1) }
+
 // startPlatformEntry starts an entry of the operators' platform beside a store and a
 // worker.
 func startPlatformEntry(t *testing.T, program string, maxFds int) *entry {
@@ -64,6 +67,7 @@
 	store.Put(listener.OperatorTopic, listener.ConfigurationKey, listener.Configuration(1, host, "/orders/", "router"))
 	store.Put(listener.WorkerTopic, worker.ID, worker.Record("router", strings.TrimPrefix(workerServer.URL, "http://"), "patan", false))
 	e := &entry{t: t, maxFds: maxFds, ip: address()}
+	e.starts = func(number int) int { return fleet.StartedForJob(jobID(number)) }
 	e.request = func(client *http.Client, id int) (int, error) {
 		return post(t, client, fmt.Sprintf("http://%s/orders/%016x", port(e.ip, attacker.Callers), id), listener.JobBody(1, listener.Work{WorkMs: 10, CPU: 100}), nil)
 	}
@@ -105,7 +109,9 @@
 	}
 	startProcess(t, p.target, fmt.Sprintf(`{"control":%q,"platform":%q,"logLevel":"error","lease":{"ttlMs":60000},
 		"targets":[{"firstAddress":%q,"count":1,"service":"orders","failureDomain":"patan","slots":8}]}`, ip+controlPort, platform, ip+targetPort))
-	e := &entry{t: t, maxFds: maxFds, ip: ip}
+	// The targets do not tell which jobs of an attack have started, as these have no ids of
+	// their own.
+	e := &entry{t: t, maxFds: maxFds, ip: ip, starts: func(int) int { return 0 }}
 	e.request = func(client *http.Client, _ int) (int, error) {
 		var reply struct {
 			IDs []string `json:"ids"`
--- a/soak/untrusted/untrusted_test.go
+++ b/soak/untrusted/untrusted_test.go
@@ -7,14 +7,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/godwitrelay/godwitrelay/soak/attacker"
+	"github.com/godwitrelay/godwitrelay/soak/sampler"
 )
 
 const (
@@ -82,8 +81,10 @@
 	ip     string
 	// request sends an ordinary request and returns the status of its answer.
 	request func(client *http.Client, id int) (int, error)
-	cmd     *exec.Cmd
-	exited  <-chan struct{}
+	// starts returns how many tasks of a job of the attack have started.
+	starts func(number int) int
+	cmd    *exec.Cmd
+	exited <-chan struct{}
 }
 
 // start starts the entry with the contents of its settings file, and waits until it
@@ -101,10 +102,10 @@
 func (e *entry) withstand(a attacker.Attack) {
 	ctx, stop := context.WithCancel(e.t.Context())
 	var sending, open, sampling sync.WaitGroup
-	maxOpen := 0
+	var most sampler.Usage
 	sampling.Go(func() {
 		for {
-			maxOpen = max(maxOpen, e.descriptors())
+			most = most.Max(sampler.Sample(e.cmd.Process.Pid))
 			select {
 			case <-ctx.Done():
 				return
@@ -124,13 +125,18 @@
 	open.Wait()
 	sampling.Wait()
 	e.awaitAnswer(1 << 42)
-	peak := e.peakMemoryMB()
-	e.t.Logf("at most %d MB resident and %d descriptors", peak, maxOpen)
-	if peak > memoryMB {
-		e.t.Errorf("the process had %d MB resident, want at most MemoryMb = %d", peak, memoryMB)
+	most = most.Max(sampler.Sample(e.cmd.Process.Pid))
+	e.t.Logf("at most %v", most)
+	if limit := (sampler.Usage{PeakMemoryMB: memoryMB, Descriptors: e.maxFds}); most.Exceeds(limit) {
+		e.t.Errorf("the process had %v, want at most %v", most, limit)
 	}
-	if maxOpen > e.maxFds {
-		e.t.Errorf("the process had %d descriptors open, want at most MaxFds = %d", maxOpen, e.maxFds)
+	for client := range crowd {
+		if a.Finishes(client) {
+			continue
+		}
+		if n := e.starts(attacker.JobNumber(client)); n > 0 {
+			e.t.Errorf("the request of client %d was not complete, but %d tasks of its job started", client, n)
+		}
 	}
 }
 
@@ -153,24 +159,3 @@
 	}
 	e.t.Fatalf("no ordinary request was answered; last: %s", last)
 }
-
-// descriptors returns the number of open descriptors, or 0 if the process has exited.
-func (e *entry) descriptors() int {
-	list, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", e.cmd.Process.Pid))
-	return len(list)
-}
-
-// peakMemoryMB returns the largest resident set that the process had.
-func (e *entry) peakMemoryMB() int {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", e.cmd.Process.Pid))
-	if err != nil {
-		e.t.Fatal(err)
-	}
-	_, rest, _ := strings.Cut(string(data), "VmHWM:")
-	kb, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
-	n, err := strconv.Atoi(kb)
-	if err != nil {
-		e.t.Fatal(err)
-	}
-	return n >> 10
-}
--- a/soak/untrusted_test.go
+++ b/soak/untrusted_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand"
-	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -13,6 +11,7 @@
 	"time"
 
 	"github.com/godwitrelay/godwitrelay/soak/attacker"
+	"github.com/godwitrelay/godwitrelay/soak/sampler"
 	"github.com/godwitrelay/godwitrelay/standin/fleet/listener"
 )
 
@@ -100,34 +99,26 @@
 // watchResources fails the test if an entry exceeds its memory or its descriptors before
 // ctx ends.
 func (d *deployment) watchResources(ctx context.Context) {
-	most, mostOpen := 0, 0
+	limit, most := sampler.Usage{PeakMemoryMB: d.layout.memoryMB, Descriptors: d.layout.maxFds}, sampler.Usage{}
 	for ctx.Err() == nil {
 		for _, p := range d.processes {
-			memory, open := p.usage()
-			if memory > d.layout.memoryMB && most <= d.layout.memoryMB || open > d.layout.maxFds && mostOpen <= d.layout.maxFds {
-				d.t.Errorf("entry %d had %d MB resident and %d descriptors, want at most %d and %d", p.index, memory, open, d.layout.memoryMB, d.layout.maxFds)
+			used := p.usage()
+			if used.Exceeds(limit) && !most.Exceeds(limit) {
+				d.t.Errorf("entry %d had %v, want at most %v", p.index, used, limit)
 			}
-			most, mostOpen = max(most, memory), max(mostOpen, open)
+			most = most.Max(used)
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	d.t.Logf("at most %d MB resident and %d descriptors", most, mostOpen)
+	d.t.Logf("at most %v", most)
 }
 
-// usage returns the largest resident set that the present run of the process had, in MB,
-// and its open descriptors, or 0 if it does not run.
-func (p *process) usage() (memoryMB, open int) {
+// usage returns what the present run of the process uses.
+func (p *process) usage() sampler.Usage {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.alive {
-		return 0, 0
+		return sampler.Usage{}
 	}
-	dir := fmt.Sprintf("/proc/%d", p.cmd.Process.Pid)
-	// The process may have ended by now; then both are 0.
-	status, _ := os.ReadFile(dir + "/status")
-	_, rest, _ := strings.Cut(string(status), "VmHWM:")
-	kb, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
-	n, _ := strconv.Atoi(kb)
-	files, _ := os.ReadDir(dir + "/fd")
-	return n >> 10, len(files)
+	return sampler.Sample(p.cmd.Process.Pid)
 }
