--- a/soak/attacker/attacker.go
+++ b/soak/attacker/attacker.go
@@ -60,7 +60,7 @@
 	switch a.Name {
 	case "WholeBodies":
 		return client%wholeShare == 0
-	case "BodiesOfSteps", "PipelinedJobs", "UnreadResults":
+	case "BodiesOfSteps", "PipelinedJobs", "LongJobs", "UnreadResults":
 		return true
 	}
 	return false
@@ -75,6 +75,9 @@
 	// JobPath returns the path to which a client submits a job, and Job is the body.
 	JobPath func(number int) string
 	Job     string
+	// LongPath and LongJob are those of a job of a low priority that outlasts the attack.
+	LongPath func(number int) string
+	LongJob  string
 	// LargeJob is the body of a job whose result is as large as possible.
 	LargeJob string
 	// ManyElements is a body of MaxBodyBytes of small elements.
@@ -208,6 +211,10 @@
 			}
 			_ = send(b.String())
 		}},
+		{"LongJobs", Callers, func(job int, send func(string) error) {
+			_ = send("POST " + d.LongPath(job) + " HTTP/1.1\r\nHost: " + d.Host + "\r\nX-Time-Remaining: 120000\r\nContent-Length: " +
+				strconv.Itoa(len(d.LongJob)) + "\r\n\r\n" + d.LongJob)
+		}},
 		{"UnreadResults", Callers, func(job int, send func(string) error) {
 			for i := range 8 {
 				if send(post(job+i, "Content-Length: "+strconv.Itoa(len(d.LargeJob)))+d.LargeJob) != nil {
--- a/soak/untrusted/programs_test.go
+++ b/soak/untrusted/programs_test.go
@@ -25,6 +25,8 @@
 			JobPath:      func(number int) string { return "/orders/" + jobID(number) },
 			Job:          listener.JobBody(1, listener.Work{WorkMs: 50, CPU: 10}),
 			ManyElements: steps + strings.Repeat(",{}", (attacker.MaxBodyBytes-len(steps)-2)/3) + "]}",
+			LongPath:     func(number int) string { return "/archive/" + jobID(number) },
+			LongJob:      listener.JobBody(1, listener.Work{WorkMs: 60_000, CPU: 100}),
 			LargeJob:     listener.JobBody(1, listener.Work{WorkMs: 50, CPU: 10}),
 			Lookup:       "/orders/", ReadyPath: "/godwitrelay/readiness", MetricsPath: "/metrics",
 		})
@@ -37,6 +39,8 @@
 			JobPath:      func(int) string { return "/v1/jobs" },
 			Job:          productJob,
 			ManyElements: tasks + strings.Repeat(",{}", (attacker.MaxBodyBytes-len(tasks)-2)/3) + "]}",
+			LongPath:     func(int) string { return "/v1/jobs" },
+			LongJob:      `{"team":"restaurants","service":"orders","requestType":"archive","wait":true,"deadlineMs":60000,"tasks":[{"runMs":3000}]}`,
 			LargeJob:     strings.Replace(productJob, `"value":1`, `"value":"`+strings.Repeat("x", attacker.MaxBodyBytes-200)+`"`, 1),
 			Lookup:       "/readyz", ReadyPath: "/debug/pprof/cmdline", MetricsPath: "/metrics",
 		})
@@ -64,7 +68,7 @@
 	workerServer, storeServer := httptest.NewServer(worker.Handler()), httptest.NewServer(store.Handler())
 	t.Cleanup(workerServer.Close)
 	t.Cleanup(storeServer.Close)
-	store.Put(listener.OperatorTopic, listener.ConfigurationKey, listener.Configuration(1, host, "/orders/", "router"))
+	store.Put(listener.OperatorTopic, listener.ConfigurationKey, listener.ConfigurationWithLimits(1, host, "router", listener.DefaultLimits, "/orders/", "/archive/"))
 	store.Put(listener.WorkerTopic, worker.ID, worker.Record("router", strings.TrimPrefix(workerServer.URL, "http://"), "patan", false))
 	e := &entry{t: t, maxFds: maxFds, ip: address()}
 	e.starts = func(number int) int { return fleet.StartedForJob(jobID(number)) }
@@ -84,7 +88,8 @@
 	productJob = `{"team":"restaurants","service":"orders","requestType":"stock-check","wait":true,"tasks":[{"runMs":10,"value":1}]}`
 	// productConfiguration is a change of the configuration: one service with 8 slots.
 	productConfiguration = `{"kind":"change","changeId":"c1","author":"test","configuration":{"budgetSlots":8,"failureDomains":["patan"],
-		"services":{"orders":{"slots":8,"requestTypes":{"stock-check":{"priority":"urgent","idempotent":true,"maxRunMs":5000}}}},
+		"services":{"orders":{"slots":8,"requestTypes":{"stock-check":{"priority":"urgent","idempotent":true,"maxRunMs":5000},
+			"archive":{"priority":"bulk","idempotent":true,"maxRunMs":5000}}}},
 		"teams":{"restaurants":{"slots":8}}}}`
 	productSettings = `{"name":"e1","failureDomain":"patan","idKey":"00112233445566778899aabbccddeeff","logLevel":"error",
 		"callerAddress":%q,"peerAddress":%q,"operatorAddress":%q,"profileAddress":%q,"platform":%q,
--- a/soak/untrusted_test.go
+++ b/soak/untrusted_test.go
@@ -51,7 +51,9 @@
 	attacks := attacker.Attacks(attacker.Dialect{
 		Host: host, JobPath: func(n int) string { return fmt.Sprintf("%sa%015x", prefix, n) }, Job: job,
 		ManyElements: prefixOfMany + strings.Repeat(",{}", (attacker.MaxBodyBytes-len(prefixOfMany)-2)/3) + "]}",
-		Lookup:       prefix, ReadyPath: "/godwitrelay/readiness", MetricsPath: "/metrics",
+		LongPath:     func(n int) string { return fmt.Sprintf("%sb%015x", prefix, n) },
+		LongJob:      listener.JobBody(1, listener.Work{WorkMs: 500, CPU: 40000}), LargeJob: job,
+		Lookup: prefix, ReadyPath: "/godwitrelay/readiness", MetricsPath: "/metrics",
 	})
 	ports := map[attacker.Port]string{attacker.Callers: ":8161", attacker.Ready: ":8167", attacker.Peers: peerPort, attacker.Metrics: metricsPort}
 	if d.layout.grouped() {
@@ -91,7 +93,7 @@
 // settings again.
 func (d *deployment) changeLimits(r *rand.Rand, version int, p *process) string {
 	limits := listener.Limits{MaxBodyBytes: 131072 << r.Intn(2), MaxHeaderBytes: 8192 << r.Intn(2), HeaderTimeoutMs: 1000 + r.Intn(3000), IdleTimeoutMs: 2000 + r.Intn(15000)}
-	d.store.Put(listener.OperatorTopic, listener.ConfigurationKey, listener.ConfigurationWithLimits(version, host, prefix, "router", limits))
+	d.store.Put(listener.OperatorTopic, listener.ConfigurationKey, listener.ConfigurationWithLimits(version, host, "router", limits, prefix))
 	p.signal(syscall.SIGHUP)
 	return fmt.Sprintf("version %d has the limits %+v, and entry %d reads its settings", version, limits, p.index)
 }
--- a/standin/fleet/listener/caller.go
+++ b/standin/fleet/listener/caller.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"strings"
 )
 
 // The topics and keys of records in the store.
@@ -18,17 +19,25 @@
 	MaxBodyBytes, MaxHeaderBytes, HeaderTimeoutMs, IdleTimeoutMs int
 }
 
+// DefaultLimits are the limits of [Configuration].
+var DefaultLimits = Limits{MaxBodyBytes: 262144, MaxHeaderBytes: 16384, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000}
+
 // Configuration returns a configuration record with a single queue.
 func Configuration(version int, host, prefix, service string) []byte {
-	return ConfigurationWithLimits(version, host, prefix, service, Limits{MaxBodyBytes: 262144, MaxHeaderBytes: 16384, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000})
+	return ConfigurationWithLimits(version, host, service, DefaultLimits, prefix)
 }
 
-// ConfigurationWithLimits is Configuration with other limits.
-func ConfigurationWithLimits(version int, host, prefix, service string, l Limits) []byte {
+// ConfigurationWithLimits returns a configuration record with a queue for each prefix. The
+// first one has the highest priority.
+func ConfigurationWithLimits(version int, host, service string, l Limits, prefixes ...string) []byte {
+	var routes []string
+	for priority, prefix := range prefixes {
+		routes = append(routes, fmt.Sprintf(`{"Name":"q%d","Host":%q,"Prefix":%q,"TimeoutMs":1500,"TargetLatencyMs":60,
+			"Priority":%d,"Service":%q,"MaxAttempts":3,"Stretch":1.6}`, priority, host, prefix, priority, service))
+	}
 	// Encoding this type cannot fail.
 	limits, _ := json.Marshal(l)
-	return fmt.Appendf(nil, `{"Version":%d,"Routes":[{"Name":"q","Host":%q,"Prefix":%q,"TimeoutMs":1500,"TargetLatencyMs":60,
-		"Priority":0,"Service":%q,"MaxAttempts":3,"Stretch":1.6}],"Services":[],"Limits":%s}`, version, host, prefix, service, limits)
+	return fmt.Appendf(nil, `{"Version":%d,"Routes":[%s],"Services":[],"Limits":%s}`, version, strings.Join(routes, ","), limits)
 }
 
 // JobBody returns the request body of an opportunistic job with n tasks: the
