limiter, listener: one time limit for answers, separate decoding for peers

The time for a write of a connection replaced the write timeout of the servers for probes and metrics (10 s) by the idle time (15 s).

godwit-entry decoded large bodies of callers and of other entries one after the other, so that callers could delay messages between entries. Each has a lock of its own.

--- a/entry/dispatcher/answer.go
+++ b/entry/dispatcher/answer.go
@@ -119,9 +119,8 @@
 }
 
 // maxForwards limits the requests that wait for other entries. Each takes a
-// connection of the owner's peer listener. With the default
-// limits.peerConnections, connections for heartbeats remain in failure domains of
-// up to 16 entries even if every other entry sends this many to one owner.
+// connection of the owner's peer listener, which keeps some free for heartbeats
+// and refuses forwarded requests beyond that.
 const maxForwards = 2048
 
 // forwardOverhead is an estimated upper bound of the memory that a forwarded
--- a/entry/limiter/server.go
+++ b/entry/limiter/server.go
@@ -64,8 +64,6 @@
 	// ReceiveBuffer and SendBuffer are the sizes of the buffers of each connection, or 0
 	// for those of the system.
 	ReceiveBuffer, SendBuffer int
-	// WriteTime limits the time for a request and its answer, unless it is 0.
-	WriteTime time.Duration
 	// Report is called for everything that is refused or closed.
 	Report func(now time.Time, reason string)
 
@@ -193,7 +191,7 @@
 	g.server = &http.Server{
 		Handler:           http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, g) }),
 		MaxHeaderBytes:    limits.HeaderBytes,
-		ReadHeaderTimeout: limits.HeaderTime, IdleTimeout: limits.IdleTime, WriteTimeout: s.WriteTime,
+		ReadHeaderTimeout: limits.HeaderTime, IdleTimeout: limits.IdleTime,
 		DisableGeneralOptionsHandler: true,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			if s.ConnContext != nil {
--- a/entry/listener/body.go
+++ b/entry/listener/body.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 
 	"github.com/godwitrelay/godwitrelay/core/messenger"
 	"github.com/godwitrelay/godwitrelay/entry/limiter"
@@ -15,12 +16,12 @@
 const largeBodyBytes = 64 << 10
 
 // lockLarge makes large bodies wait for each other until unlock is called.
-func (l *Listener) lockLarge(body []byte) (unlock func()) {
+func lockLarge(mu *sync.Mutex, body []byte) (unlock func()) {
 	if len(body) <= largeBodyBytes {
 		return func() {}
 	}
-	l.largeDecoding.Lock()
-	return l.largeDecoding.Unlock
+	mu.Lock()
+	return mu.Unlock
 }
 
 // readBody reads a body of at most limit bytes within the budget of its server. The
--- a/entry/listener/listener.go
+++ b/entry/listener/listener.go
@@ -67,8 +67,9 @@
 	// wait for a result.
 	CallerPlaces, PeerPlaces limiter.Places
 
-	// largeDecoding is held while a large body is decoded.
-	largeDecoding sync.Mutex
+	// callerDecoding and peerDecoding are held while a large body is decoded. They are
+	// separate so that callers cannot delay messages between entries.
+	callerDecoding, peerDecoding sync.Mutex
 }
 
 // Callers returns the handler for callers.
@@ -203,7 +204,11 @@
 	if e != nil {
 		return msg, e
 	}
-	defer l.lockLarge(body)()
+	decoding := &l.callerDecoding
+	if forwarded {
+		decoding = &l.peerDecoding
+	}
+	defer lockLarge(decoding, body)()
 	if e := checkStructure(body, l.MaxTasks); e != nil {
 		return msg, e
 	}
@@ -433,7 +438,7 @@
 func (l *Listener) decode(w http.ResponseWriter, r *http.Request, limit int64, v any) bool {
 	body, release, e := l.readBody(r, limit)
 	defer release()
-	defer l.lockLarge(body)()
+	defer lockLarge(&l.peerDecoding, body)()
 	if e == nil {
 		e = checkStructure(body, math.MaxInt)
 	}
