limiter: count heads under a lock

Seen: by the scenario that follows, with the race detector: clients that pipeline requests make godwit-entry read and write the size of a head at the same time.

Cause: net/http reads one byte beyond a request while its handler runs. If the end of the head came in two reads, that byte was still counted as one of the head, beside the handler's goroutine.

Change: a lock of the connection guards the fields about the head.

Evidence: proof/testdata/scenarios/clients-without-limits.txtar ended with exit status 66 of the race detector before, and passes now.

--- a/entry/limiter/conn.go
+++ b/entry/limiter/conn.go
@@ -38,10 +38,14 @@
 	// writesSince is the time at which the write in progress began, in nanoseconds since
 	// the Unix epoch, or 0 if there is none.
 	writesSince atomic.Int64
+
+	// headMu guards the fields about the head. net/http may read the first byte of a
+	// pipelined request while the request before it is handled.
+	headMu sync.Mutex
 	// inHead is set while the head of the next request is awaited or read, and head
 	// counts its bytes. An end of the head that is split between two reads is not seen;
 	// then bytes of the body count as well, until the request is served.
-	inHead atomic.Bool
+	inHead bool
 	head   int64
 	// begun is set once the head has more than the empty lines that may precede it.
 	begun bool
@@ -61,7 +65,7 @@
 // Read reads from the connection and counts the bytes of heads.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if n > 0 && c.inHead.Load() && !c.readHead(p[:n]) {
+	if n > 0 && !c.readHead(p[:n]) {
 		_ = c.Close()
 		return 0, errHeadLimit
 	}
@@ -86,8 +90,20 @@
 	return since != 0 && now.Sub(time.Unix(0, since)) >= stalledAfter
 }
 
-// readHead counts bytes of the head, and reports whether they are within the limit.
+// readHead counts bytes of the head, and reports whether they are within the limit. It
+// ignores bytes that follow the head.
 func (c *conn) readHead(data []byte) bool {
+	excess := c.addToHead(data)
+	return excess == 0 || c.pool.countHead(time.Now(), c, excess*parsedHeadFactor)
+}
+
+// addToHead counts bytes of the head, and returns how many of them are above freeHeadBytes.
+func (c *conn) addToHead(data []byte) int64 {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	if !c.inHead {
+		return 0
+	}
 	size := int64(len(data))
 	text := data
 	if !c.begun {
@@ -95,18 +111,28 @@
 		c.begun = len(text) > 0
 	}
 	if end := bytes.Index(text, headEnd); end >= 0 {
-		c.inHead.Store(false)
+		c.inHead = false
 		c.buffered = int64(len(text) - end - len(headEnd))
 		size -= c.buffered
 	}
 	c.head += size
-	return c.head <= freeHeadBytes || c.pool.countHead(time.Now(), c, min(size, c.head-freeHeadBytes)*parsedHeadFactor)
+	return max(min(size, c.head-freeHeadBytes), 0)
 }
 
 // awaitHead records that the next bytes are those of a head.
 func (c *conn) awaitHead() {
-	c.head, c.begun, c.buffered = 0, false, 0
-	c.inHead.Store(true)
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.inHead, c.head, c.begun, c.buffered = true, 0, false, 0
+}
+
+// endHead records that the head has been read. It returns its size, and the number of bytes
+// that were read together with its end and follow it.
+func (c *conn) endHead() (size, buffered int64) {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.inHead = false
+	return c.head, c.buffered
 }
 
 // Close closes the connection and removes it from its pool.
@@ -218,12 +244,13 @@
 	return fits
 }
 
-// headParsed replaces the estimate for the head of c by what the parsed one takes.
-func (p *pool) headParsed(c *conn, h http.Header) {
-	if c.head <= freeHeadBytes {
+// headParsed replaces the estimate for the head of c, of the given size, by what the parsed
+// one takes.
+func (p *pool) headParsed(c *conn, size int64, h http.Header) {
+	if size <= freeHeadBytes {
 		return
 	}
-	n := copies * c.head
+	n := copies * size
 	for _, values := range h {
 		n += parsedFieldBytes * int64(len(values))
 	}
--- a/entry/limiter/limiter_test.go
+++ b/entry/limiter/limiter_test.go
@@ -210,7 +210,7 @@
 	if p.countHead(now, own, 60) || young.element == nil {
 		t.Error("a head beyond the limit is accepted, or a young one closed for it")
 	}
-	p.headParsed(young, http.Header{})
+	p.headParsed(young, 0, http.Header{})
 	if p.endServing(now, young); p.heads != 0 {
 		t.Errorf("%d bytes of heads are counted after their end", p.heads)
 	}
--- a/entry/limiter/server.go
+++ b/entry/limiter/server.go
@@ -228,12 +228,12 @@
 // complete request whose connection has been closed.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, g *generation) {
 	c := r.Context().Value(connKey{}).(*conn)
-	c.inHead.Store(false)
-	s.pool.headParsed(c, r.Header)
+	headBytes, buffered := c.endHead()
+	s.pool.headParsed(c, headBytes, r.Header)
 	if s.newest.Load() != g {
 		w.Header().Set("Connection", "close")
 	}
-	if r.ContentLength >= 0 && r.ContentLength <= c.buffered {
+	if r.ContentLength >= 0 && r.ContentLength <= buffered {
 		// The whole request has been read, at most the 4 KB of one read.
 		if !s.pool.startServing(c) {
 			panic(http.ErrAbortHandler)
