proof: a scenario with clients that keep to no limit

The command attack plays all attacks on an entry of the product's own interface. The scenario changes the configuration meanwhile, takes the platform away, and stops, kills and replaces the entries; ordinary callers are served throughout and the histories are checked. Package attacker moves to proof, which has the other tools that the soak shares.

--- a/proof/conductor/command.go
+++ b/proof/conductor/command.go
@@ -94,7 +94,7 @@
 		"leave": targetCommand, "break": targetCommand, "slow": targetCommand, "repair": targetCommand, "target-close": targetCommand,
 		"announce-leaving": listLeavingCommand, "mark": markCommand, "expect-no-starts": expectNoStartsCommand,
 		"drain": drainCommand, "wait-for": waitForCommand, "expect": expectCommand, "served": servedCommand,
-		"check-history": checkHistoryCommand,
+		"check-history": checkHistoryCommand, "attack": attackCommand,
 	}
 	result := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range commands {
--- a/proof/conductor/deployment.go
+++ b/proof/conductor/deployment.go
@@ -53,6 +53,7 @@
 	network   *forwarder.Network
 	client    messenger.Client
 	caller    *caller
+	attacks   attacks
 	rng       *rand.Rand
 	sequence  int64
 	hostCount int
@@ -211,6 +212,7 @@
 
 // Close stops the background load, the network and all running processes.
 func (d *Deployment) Close() {
+	d.attacks.end()
 	if d.caller != nil {
 		d.caller.stopLoad()
 	}
--- a/soak/untrusted/programs_test.go
+++ b/soak/untrusted/programs_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"github.com/godwitrelay/godwitrelay/soak/attacker"
+	"github.com/godwitrelay/godwitrelay/proof/attacker"
 	"github.com/godwitrelay/godwitrelay/standin/fleet/listener"
 )
 
