--- a/entry/listener/counter_test.go
+++ b/entry/listener/counter_test.go
@@ -24,6 +24,21 @@
 func (unresponsiveLoop) Post(dispatcher.Msg) {}
 func (unresponsiveLoop) Ready() bool         { return true }
 
+// TestRequestsThatHoldAllPlaces guards against requests that wait for results and keep out
+// others, and against a refusal that says that the work did not run: the id may have run.
+func TestRequestsThatHoldAllPlaces(t *testing.T) {
+	l := &Listener{Runner: unresponsiveLoop{}, Metrics: exporter.New(), MaxBodyBytes: 1000, MaxPeerBodyBytes: 1000, MaxTasks: 1, BodyReadTimeout: time.Second}
+	l.CallerPlaces.Limit = 1
+	l.CallerPlaces.Take(submissionRank)
+	answer := submitBody(t, l.Callers(), "/v1/jobs", `{"team":"a"}`)
+	if e := answer.Error; e == nil || e.Kind != messenger.Overloaded || e.Ran != messenger.MayHaveRun || e.RetryAfterMs < 1000 {
+		t.Errorf("without a place: got %+v", answer.Error)
+	}
+	if answer = submitBody(t, l.Peers(), "/peer/v1/jobs", `{"team":"a"}`); answer.Error == nil || answer.Error.Kind != messenger.Internal {
+		t.Errorf("from another entry, which has its own places: got %+v", answer.Error)
+	}
+}
+
 // TestInternalErrorsAreCounted guards against requests that fail without a
 // reply from the event loop and are not counted as refusals.
 func TestInternalErrorsAreCounted(t *testing.T) {
