--- a/soak/untrusted/doc.go
+++ b/soak/untrusted/doc.go
@@ -1,4 +1,4 @@
-// Package untrusted runs godwit-platform-entry as a process against a simulated
-// store and worker while clients attack it that keep to no rule. It contains only
-// tests.
+// Package untrusted runs an entry of each program, godwit-platform-entry and
+// godwit-entry, as a process beside stand-ins of what it calls, while clients attack it
+// that keep to no limit. It contains only tests.
 package untrusted
--- a/soak/untrusted/programs_test.go
+++ b/soak/untrusted/programs_test.go
@@ -114,9 +114,7 @@
 	}
 	startProcess(t, p.target, fmt.Sprintf(`{"control":%q,"platform":%q,"logLevel":"error","lease":{"ttlMs":60000},
 		"targets":[{"firstAddress":%q,"count":1,"service":"orders","failureDomain":"patan","slots":8}]}`, ip+controlPort, platform, ip+targetPort))
-	// The targets do not tell which jobs of an attack have started, as these have no ids of
-	// their own.
-	e := &entry{t: t, maxFds: maxFds, ip: ip, starts: func(int) int { return 0 }}
+	e := &entry{t: t, maxFds: maxFds, ip: ip}
 	e.request = func(client *http.Client, _ int) (int, error) {
 		var reply struct {
 			IDs []string `json:"ids"`
--- a/soak/untrusted/untrusted_test.go
+++ b/soak/untrusted/untrusted_test.go
@@ -81,7 +81,8 @@
 	ip     string
 	// request sends an ordinary request and returns the status of its answer.
 	request func(client *http.Client, id int) (int, error)
-	// starts returns how many tasks of a job of the attack have started.
+	// starts returns how many tasks of a job of the attack have started. It is nil if the
+	// clients do not choose the ids of their jobs.
 	starts func(number int) int
 	cmd    *exec.Cmd
 	exited <-chan struct{}
@@ -130,11 +131,16 @@
 	if limit := (sampler.Usage{PeakMemoryMB: memoryMB, Descriptors: e.maxFds}); most.Exceeds(limit) {
 		e.t.Errorf("the process had %v, want at most %v", most, limit)
 	}
+	if e.starts != nil {
+		e.checkUnfinished(a)
+	}
+}
+
+// checkUnfinished checks that no task started for a client that sent no whole request.
+func (e *entry) checkUnfinished(a attacker.Attack) {
+	e.t.Helper()
 	for client := range crowd {
-		if a.Finishes(client) {
-			continue
-		}
-		if n := e.starts(attacker.JobNumber(client)); n > 0 {
+		if n := e.starts(attacker.JobNumber(client)); n > 0 && !a.Finishes(client) {
 			e.t.Errorf("the request of client %d was not complete, but %d tasks of its job started", client, n)
 		}
 	}
