--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -7,7 +7,6 @@
 	"math/rand"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -16,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/godwitrelay/godwitrelay/soak/launcher"
 	"github.com/godwitrelay/godwitrelay/standin/fleet/listener"
 )
 
@@ -102,9 +102,9 @@
 // buildEntry builds the entry program and returns its path.
 func buildEntry(t *testing.T) string {
 	t.Helper()
-	program := filepath.Join(t.TempDir(), "entry")
-	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "../platform").CombinedOutput(); err != nil {
-		t.Fatalf("building the entry program: %v\n%s", err, out)
+	program, err := launcher.Build(t.Context(), "../platform", t.TempDir())
+	if err != nil {
+		t.Fatal(err)
 	}
 	return program
 }
--- a/soak/untrusted/untrusted_test.go
+++ b/soak/untrusted/untrusted_test.go
@@ -5,14 +5,12 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/godwitrelay/godwitrelay/proof/attacker"
+	"github.com/godwitrelay/godwitrelay/soak/launcher"
 	"github.com/godwitrelay/godwitrelay/soak/sampler"
 )
 
@@ -42,36 +40,23 @@
 // build builds the program in a directory of the repository and returns its path.
 func build(t *testing.T, dir string) string {
 	t.Helper()
-	program := filepath.Join(t.TempDir(), filepath.Base(dir))
-	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "../../"+dir).CombinedOutput(); err != nil {
-		t.Fatalf("building %s: %v\n%s", dir, err, out)
+	program, err := launcher.Build(t.Context(), "../../"+dir, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
 	}
 	return program
 }
 
-// startProcess starts a program with the contents of its settings file. The process is
-// killed when the test ends.
-func startProcess(t *testing.T, program, settings string) (*exec.Cmd, <-chan struct{}) {
+// startProcess starts a program with the contents of its settings file, and kills it when
+// the test ends.
+func startProcess(t *testing.T, program, settings string) *launcher.Process {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), filepath.Base(program)+".settings")
-	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	cmd := exec.CommandContext(context.Background(), program, "--settings", path)
-	cmd.Stderr = os.Stderr
-	if err := cmd.Start(); err != nil {
+	p, err := launcher.Start(program, settings, t.TempDir())
+	if err != nil {
 		t.Fatal(err)
 	}
-	exited := make(chan struct{})
-	go func() {
-		_ = cmd.Wait()
-		close(exited)
-	}()
-	t.Cleanup(func() {
-		_ = cmd.Process.Signal(syscall.SIGKILL)
-		<-exited
-	})
-	return cmd, exited
+	t.Cleanup(p.Kill)
+	return p
 }
 
 // entry is the process under attack.
@@ -83,15 +68,14 @@
 	request func(client *http.Client, id int) (int, error)
 	// starts returns how many tasks of a job of the attack have started. It is nil if the
 	// clients do not choose the ids of their jobs.
-	starts func(number int) int
-	cmd    *exec.Cmd
-	exited <-chan struct{}
+	starts  func(number int) int
+	process *launcher.Process
 }
 
 // start starts the entry with the contents of its settings file, and waits until it
 // answers.
 func (e *entry) start(program, settings string) *entry {
-	e.cmd, e.exited = startProcess(e.t, program, settings)
+	e.process = startProcess(e.t, program, settings)
 	e.awaitAnswer(1 << 40)
 	return e
 }
@@ -106,7 +90,7 @@
 	var most sampler.Usage
 	sampling.Go(func() {
 		for {
-			most = most.Max(sampler.Sample(e.cmd.Process.Pid))
+			most = most.Max(sampler.Sample(e.process.Pid))
 			select {
 			case <-ctx.Done():
 				return
@@ -126,7 +110,7 @@
 	open.Wait()
 	sampling.Wait()
 	e.awaitAnswer(1 << 42)
-	most = most.Max(sampler.Sample(e.cmd.Process.Pid))
+	most = most.Max(sampler.Sample(e.process.Pid))
 	e.t.Logf("at most %v", most)
 	if limit := (sampler.Usage{PeakMemoryMB: memoryMB, Descriptors: e.maxFds}); most.Exceeds(limit) {
 		e.t.Errorf("the process had %v, want at most %v", most, limit)
@@ -154,8 +138,8 @@
 	last := "no attempt"
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		select {
-		case <-e.exited:
-			e.t.Fatalf("the process has exited: %v", e.cmd.ProcessState)
+		case <-e.process.Exited:
+			e.t.Fatalf("the process has exited: %v", e.process.State())
 		default:
 		}
 		status, err := e.request(client, id)
