review: case 13, a job is refused as not run after its tasks have started

Tried: one runner of twelve that answers 400 to starts. Cause: a 400 ends the job with an error kind that says it did not run, whatever else was started.

--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(*site) bool{
 	"11": cancelledThenOwnerKilled,
 	"12": cancelledBehindCut,
+	"13": greyRunner,
 }
 
 func main() {
--- a/review/stand-3/site.go
+++ b/review/stand-3/site.go
@@ -47,6 +47,8 @@
 	record *os.File
 	starts []start
 	giver  string
+	// grey is the id of the runner that answers 400 to starts, or empty.
+	grey string
 }
 
 // entry is one front machine.
@@ -254,7 +256,11 @@
 		_ = json.Unmarshal(body, &order)
 		from, _, _ := net.SplitHostPort(r.RemoteAddr)
 		answer := httptest.NewRecorder()
-		h.ServeHTTP(answer, r)
+		if r.URL.Path == "/godwitrelay/run-start" && s.isGrey(w.ID) {
+			answer.WriteHeader(http.StatusBadRequest)
+		} else {
+			h.ServeHTTP(answer, r)
+		}
 		s.ordered(w.ID, r.URL.Path, order.Task, order.RunID, from, answer.Code)
 		for k, v := range answer.Header() {
 			out.Header()[k] = v
@@ -264,6 +270,18 @@
 	})
 }
 
+func (s *site) setGrey(worker string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grey = worker
+}
+
+func (s *site) isGrey(worker string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.grey == worker
+}
+
 func (s *site) ordered(worker, path, task string, run int64, from string, status int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
