review: case 11, tasks run twice after one runner answered 400 to a start

Tried: one runner of 75 that answers 400, in a deployment with an owner in each zone. Cause: the job is said not to have run although its tasks were started, and is offered to another worker group. The earlier cases are renumbered, the gravest first: 12 (owner killed), 13 (cut), 14 (refused).

--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -14,9 +14,10 @@
 
 // cases holds the cases by number. Each returns whether the rule was broken.
 var cases = map[string]func(*site) bool{
-	"11": cancelledThenOwnerKilled,
-	"12": cancelledBehindCut,
-	"13": greyRunner,
+	"11": greyRunnerInGroups,
+	"12": cancelledThenOwnerKilled,
+	"13": cancelledBehindCut,
+	"14": greyRunner,
 }
 
 func main() {
--- a/review/stand-3/site.go
+++ b/review/stand-3/site.go
@@ -32,6 +32,10 @@
 type site struct {
 	program, dir string
 	trouble      bool
+	// limits are those of each front machine.
+	limits limits
+	// stopTime is how long a runner takes to stop a run, at most StopTimeoutMs.
+	stopTime     time.Duration
 	began        time.Time
 	block        int
 	port         int
@@ -51,6 +55,13 @@
 	grey string
 }
 
+// limits are the limits of a front machine.
+type limits struct {
+	cpuShare         float64
+	memoryMB, maxFds int
+	linkMbps         float64
+}
+
 // entry is one front machine.
 type entry struct {
 	name, ip, zone, settings string
@@ -76,7 +87,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
-	s := &site{program: program, dir: dir, trouble: trouble, record: f, began: time.Now()}
+	s := &site{program: program, dir: dir, trouble: trouble, record: f, began: time.Now(), limits: limits{cpuShare: 0.4, memoryMB: 284, maxFds: 4100, linkMbps: 1000}}
 	s.net.zones = map[string]string{}
 	s.log("disruption: %v", trouble)
 	return s
@@ -206,11 +217,11 @@
 ReadyAddr = %q
 ControlAddr = %q
 [Limits]
-CpuShare = 0.4
+CpuShare = %g
 Cores = 1
-MemoryMb = 284
-MaxFds = 4100
-LinkMbps = 1000.0
+MemoryMb = %d
+MaxFds = %d
+LinkMbps = %g
 [Bounds]
 ContactMs = 3000
 AckMs = 4000
@@ -225,7 +236,7 @@
 [platform]
 Address = %q
 form = "log"
-`, e.name, e.ip, e.zone, s.port, s.port+5, s.entries[0].ip, s.port+9, s.front(e), s.at(e, 8), s.at(e, 9), s.storeAddress)
+`, e.name, e.ip, e.zone, s.port, s.port+5, s.entries[0].ip, s.port+9, s.front(e), s.at(e, 8), s.at(e, 9), s.limits.cpuShare, s.limits.memoryMB, s.limits.maxFds, s.limits.linkMbps, s.storeAddress)
 }
 
 // serve serves HTTP at a free port and returns its address.
@@ -255,6 +266,9 @@
 		}
 		_ = json.Unmarshal(body, &order)
 		from, _, _ := net.SplitHostPort(r.RemoteAddr)
+		if r.URL.Path == "/godwitrelay/run-stop" {
+			time.Sleep(s.stopTime)
+		}
 		answer := httptest.NewRecorder()
 		if r.URL.Path == "/godwitrelay/run-start" && s.isGrey(w.ID) {
 			answer.WriteHeader(http.StatusBadRequest)
