--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 )
 
 // cases holds the cases by number. Each returns whether the rule was broken.
@@ -29,8 +30,12 @@
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
-		<-interrupted
-		s.fail("interrupted")
+		select {
+		case <-interrupted:
+			s.fail("interrupted")
+		case <-time.After(longest):
+			s.fail("still running after %v", longest)
+		}
 	}()
 	broken := cases[os.Args[1]](s)
 	s.stop()
@@ -41,6 +46,9 @@
 	s.log("RESULT: the rule held")
 }
 
+// longest limits the time of a case, which may run for 120 s.
+const longest = 110 * time.Second
+
 const (
 	exitBroken = 1
 	exitNotRun = 2
