--- a/review/stand-3/cancel.go
+++ b/review/stand-3/cancel.go
@@ -95,20 +95,21 @@
 	}
 	time.Sleep(2 * time.Second)
 	const id = "7d1f8b32ea5c4709"
-	// Long tasks of another job leave room for two tasks at a time.
-	go s.send(from, http.MethodPost, "0b5d94c1e7a2386f", jobBody(6, 16000, 12000, "a"), 30*time.Second)
-	time.Sleep(200 * time.Millisecond)
-	go s.send(from, http.MethodPost, id, jobBody(8, 16000, 1900, "a"), 30*time.Second)
-	time.Sleep(500 * time.Millisecond)
-	if len(s.startsOf(id)) == 0 {
-		s.fail("the job did not start")
-	}
 	cutAt := time.Now()
 	if s.trouble {
 		s.log("zone %s is cut off from the others; clients still reach it", to.zone)
 		s.net.cut(to.zone)
 	}
-	time.Sleep(300 * time.Millisecond)
+	time.Sleep(1400 * time.Millisecond)
+	// Another job leaves room for half of the tasks at a time. No task takes longer than the
+	// longest ones of the site.
+	go s.send(from, http.MethodPost, "0b5d94c1e7a2386f", jobBody(4, 16000, longestTaskMs, "a"), 10*time.Second)
+	time.Sleep(50 * time.Millisecond)
+	go s.send(from, http.MethodPost, id, jobBody(8, 16000, longestTaskMs, "a"), 10*time.Second)
+	time.Sleep(150 * time.Millisecond)
+	if len(s.startsOf(id)) == 0 {
+		s.fail("the job did not start")
+	}
 	var cancelled reply
 	for cancelled.status != http.StatusOK && cancelled.status != http.StatusGone {
 		if cancelled = s.send(to, http.MethodDelete, id, "", 4*time.Second); time.Since(cutAt) > 20*time.Second {
@@ -132,5 +133,8 @@
 	})
 }
 
+// longestTaskMs is the run time of the longest tasks of the site.
+const longestTaskMs = 3600
+
 // cutLength is the length of the cut of a zone, which lasts up to 6.3 s on the site.
 const cutLength = 6200 * time.Millisecond
